--- /dev/null
+++ b/src/main/java/tidebank/Brain.java
@@ -0,0 +1,673 @@
+package tidebank;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.zip.CRC32;
+import tidebank.model.Action;
+import tidebank.model.Dispatch;
+import tidebank.model.Event;
+import tidebank.model.Outcome;
+import tidebank.model.Part;
+import tidebank.model.Part.Stage;
+import tidebank.model.Repeat;
+import tidebank.model.Scan;
+import tidebank.model.Scan.Verdict;
+import tidebank.model.Settings;
+import tidebank.model.Shard;
+import tidebank.model.ShardServer;
+import tidebank.model.TableType;
+
+/**
+ * All decisions of one gatherer. A front makes one Brain an instance and calls {@link #on} with the clock and all that
+ * happened to the instance since the last call; the answer is what to do now, in order. The interface is the package
+ * {@code tidebank.model}: Settings, Event and Action in and out, the rest the state kept here. Events change the state,
+ * {@link #review} settles what is wanted (dispatches, verdicts, wake-ups), {@link #settle} alone emits the difference.
+ */
+public final class Brain {
+  // The design's figures.
+  private static final double CAP_START = 8;
+  private static final double SPILL = 4;
+  private static final double IDLE = 0.1;
+  private static final double HALF = 0.5;
+  private static final long TROUBLE_US = 1_000_000;
+  // Shares of a target time: how long a dispatch may take at the least and at the most before it is overdue.
+  private static final double PATIENCE_LEAST = 0.2;
+  private static final double PATIENCE_MOST = 0.4;
+  private static final double PATIENCE_TYPICAL = 4;
+  private static final double TYPICAL_START = 0.1;
+  private static final double LEARN = 1.0 / 32;
+  // The sequential test: the share of bad ends of a sound and of a sick server, and the error it may make.
+  private static final double BAD_SOUND = 0.05;
+  private static final double BAD_SICK = 0.5;
+  private static final double TEST_ERROR = 0.01;
+  private static final double DOUBT_BAD = Math.log(BAD_SICK / BAD_SOUND);
+  private static final double DOUBT_GOOD = Math.log((1 - BAD_SICK) / (1 - BAD_SOUND));
+  private static final double DOUBT_BOUND = Math.log((1 - TEST_ERROR) / TEST_ERROR);
+  private static final int TRIAL_DOUBLINGS = 3;
+  private static final double OVERLOADED_SHARE = 1.0 / 3;
+  private static final int FURTHER_MOST = 2;
+  private static final int MARGIN_TICKS = 3;
+  private static final double SUM_SLACK = 0.00005;
+
+  private final Settings settings;
+  private final long seed;
+  private long chances;
+  private final Map<String, ShardServer> servers = new TreeMap<>();
+  private final Map<Integer, List<ShardServer>> byPosition = new HashMap<>();
+  private final Map<Integer, Shard> shards = new HashMap<>();
+  private final Map<String, Scan> scans = new LinkedHashMap<>();
+  private final Map<Long, Scan> byNumber = new HashMap<>();
+  private final Map<String, Part> parts = new HashMap<>();
+  private final List<Dispatch> live = new ArrayList<>();
+  private final Map<String, double[]> buckets = new HashMap<>();
+  private final Deque<Long> taken = new ArrayDeque<>();
+  private final Deque<Long> further = new ArrayDeque<>();
+  private final List<Action> actions = new ArrayList<>();
+  private final long shortestTarget;
+  private double typical;
+  private long calls;
+  private long now;
+  private long wakeAt;
+  private long armedAt = Long.MAX_VALUE;
+  private long timers;
+  private boolean following;
+  private boolean followAnswered;
+  private long askAt;
+  private long askWait;
+
+  public Brain(Settings settings, long seed) {
+    this.settings = settings;
+    this.seed = seed;
+    this.shortestTarget = settings.tableTypes().values().stream()
+        .mapToLong(TableType::targetUs).filter(t -> t > 0).min().orElse(TROUBLE_US);
+    this.typical = shortestTarget * TYPICAL_START;
+    this.askWait = askLeast();
+  }
+
+  /** Takes what happened and returns what to do. */
+  public List<Action> on(long clock, List<Event> events) {
+    now = clock;
+    wakeAt = Long.MAX_VALUE;
+    actions.clear();
+    for (Event event : events) {
+      take(event);
+    }
+    review();
+    settle();
+    return List.copyOf(actions);
+  }
+
+  // ---- events
+
+  private void take(Event event) {
+    if (event instanceof Event.ListSeen list) {
+      takeList(list);
+    } else if (event instanceof Event.ScanTaken taken) {
+      takeScan(taken);
+    } else if (event instanceof Event.PartTaken taken) {
+      Scan scan = byNumber.get(taken.number());
+      this.taken.add(now);
+      if (scan != null && scan.verdict == Verdict.OPEN) {
+        Part part = new Part(taken.id(), scan, taken.shard(), taken.weight(), taken.key(), scan.step);
+        part.stage = Stage.HELD;
+        scan.parts.add(part);
+        parts.put(part.id, part);
+      }
+    } else if (event instanceof Event.DispatchEnded ended) {
+      takeEnd(ended);
+    } else if (event instanceof Event.ScanLapsed lapsed) {
+      Scan scan = scans.get(lapsed.id());
+      if (scan != null) {
+        close(scan, Verdict.LEFT);
+      }
+    }
+  }
+
+  private void takeList(Event.ListSeen list) {
+    if (list.kind() == Event.ListKind.LOST) {
+      following = false;
+      askAt = now + askWait / 2 + Math.round(chance() * askWait / 2);
+      askWait = Math.min(2 * askWait, settings.rules().askEveryUs());
+      return;
+    }
+    if (list.kind() != Event.ListKind.REMEMBERED) {
+      followAnswered = true;
+      askWait = askLeast();
+    }
+    if (list.kind() != Event.ListKind.CHANGES) {
+      servers.values().forEach(srv -> srv.inService = false);
+    }
+    for (Event.Listed line : list.entries()) {
+      ShardServer srv = servers.computeIfAbsent(line.server(), ShardServer::new);
+      srv.position = line.position();
+      srv.inService = line.status() == Event.ServerStatus.IN_SERVICE;
+      if (line.startedAt() > srv.startedAt) {
+        srv.startedAt = line.startedAt();
+        srv.trialAt = Math.min(srv.trialAt, now);
+      }
+    }
+    byPosition.clear();
+    for (ShardServer srv : servers.values()) {
+      if (srv.inService) {
+        byPosition.computeIfAbsent(srv.position, absent -> new ArrayList<>()).add(srv);
+      }
+    }
+  }
+
+  private void takeScan(Event.ScanTaken event) {
+    TableType type = settings.tableTypes().get(event.type());
+    if (type == null) {
+      long left = event.limitAt() - now;
+      type = new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 1, 0, 1, 1, 0, 0);
+    }
+    Scan scan = new Scan(event.id(), event.number(), type, event.account(), now, event.limitAt(), event.resent());
+    scan.targetAt = Math.min(now + type.targetUs(), scan.limitAt);
+    scan.overShare = overShare(scan);
+    scans.put(scan.id, scan);
+    byNumber.put(scan.number, scan);
+    taken.add(now);
+  }
+
+  /** A customer's bucket fills at this gatherer's part of its allowance and holds a target time's worth. */
+  private boolean overShare(Scan scan) {
+    Double allowance = settings.allowances().get(scan.account);
+    if (allowance == null) {
+      return false;
+    }
+    double perUs = allowance / 1e6 / settings.instances();
+    double most = Math.max(1, perUs * 2 * scan.type.targetUs());
+    double[] bucket = buckets.computeIfAbsent(scan.account, absent -> new double[] {most, now});
+    bucket[0] = Math.min(most, bucket[0] + (now - bucket[1]) * perUs);
+    bucket[1] = now;
+    if (bucket[0] < 1) {
+      return true;
+    }
+    bucket[0]--;
+    return false;
+  }
+
+  private void takeEnd(Event.DispatchEnded ended) {
+    Part part = parts.get(ended.part());
+    if (part == null || ended.dispatch() >= part.dispatches.size() || !part.dispatches.get(ended.dispatch()).out) {
+      return;
+    }
+    Dispatch dispatch = part.dispatches.get(ended.dispatch());
+    dispatch.out = false;
+    dispatch.outcome = ended.outcome();
+    dispatch.server.out.remove(dispatch);
+    live.remove(dispatch);
+    judge(dispatch, ended.tookUs());
+    boolean open = part.scan.verdict == Verdict.OPEN;
+    if (open && ended.outcome() == Outcome.COMPLETED) {
+      part.stage = Stage.IN;
+      drop(part);
+    } else if (open && ended.closed() && part.stage != Stage.IN) {
+      part.stage = Stage.LOST;
+    }
+    forget(part);
+  }
+
+  private void forget(Part part) {
+    if (part.scan.verdict != Verdict.OPEN && part.out() == 0) {
+      parts.remove(part.id);
+    }
+  }
+
+  // ---- what the gatherer makes of ends: caps, the sequential test, the typical time
+
+  private void judge(Dispatch dispatch, long tookUs) {
+    ShardServer srv = dispatch.server;
+    Shard shard = shard(dispatch.part.shard);
+    switch (dispatch.outcome) {
+      case COMPLETED -> {
+        if (srv.down) {
+          srv.down = false;
+          srv.startedAt = Math.max(srv.startedAt, now);
+        }
+        if (!dispatch.overdue) {
+          typical += (tookUs - typical) * LEARN;
+          shard.capPerReplica += 1.0 / Math.max(1, holders(dispatch.part.shard).size());
+          srv.doubt = srv.sick ? DOUBT_BOUND * HALF : Math.max(0, srv.doubt + DOUBT_GOOD);
+          srv.sick = false;
+          srv.trialWait = 0;
+        }
+      }
+      case FULL -> {
+        halve(shard);
+        srv.strainedAt = now;
+      }
+      case TIMED_OUT -> overdue(dispatch);
+      case ERROR -> doubt(srv, DOUBT_BAD);
+      case BROKEN, UNREACHABLE -> {
+        srv.down = true;
+        doubt(srv, DOUBT_BOUND);
+      }
+      default -> { }
+    }
+  }
+
+  private void overdue(Dispatch dispatch) {
+    if (!dispatch.overdue) {
+      dispatch.overdue = true;
+      halve(shard(dispatch.part.shard));
+      dispatch.server.strainedAt = now;
+      doubt(dispatch.server, DOUBT_BAD);
+    }
+  }
+
+  private void halve(Shard shard) {
+    shard.capPerReplica = shard.capPerReplica * HALF;
+    shard.troubledAt = now;
+  }
+
+  private void doubt(ShardServer srv, double evidence) {
+    srv.doubt = Math.min(DOUBT_BOUND, srv.doubt + evidence);
+    if (srv.doubt >= DOUBT_BOUND) {
+      srv.sick = true;
+      srv.trialWait = Math.min(Math.max(2 * srv.trialWait, shortestTarget / 2), shortestTarget << TRIAL_DOUBLINGS);
+      srv.trialAt = now + srv.trialWait;
+    }
+  }
+
+  private boolean overload() {
+    int listed = 0;
+    int strained = 0;
+    for (ShardServer srv : servers.values()) {
+      if (srv.inService) {
+        listed++;
+        if (!srv.sick && now - srv.strainedAt < TROUBLE_US) {
+          strained++;
+        }
+      }
+    }
+    return strained > 0 && strained >= listed * OVERLOADED_SHARE;
+  }
+
+  // ---- what is wanted
+
+  private void review() {
+    for (Dispatch dispatch : List.copyOf(live)) {
+      if (!dispatch.overdue && now >= dispatch.dueAt) {
+        overdue(dispatch);
+      }
+    }
+    boolean overload = overload();
+    for (Scan scan : List.copyOf(scans.values())) {
+      if (!scan.selected) {
+        select(scan, overload);
+      }
+      if (scan.verdict == Verdict.OPEN) {
+        for (Part part : scan.parts) {
+          pursue(part, overload);
+        }
+        conclude(scan);
+      }
+    }
+    for (Dispatch dispatch : live) {
+      if (!dispatch.overdue) {
+        wake(dispatch.dueAt);
+      }
+    }
+  }
+
+  /** The design: the ranked parts that pass their threshold go, the others stay unsent. */
+  private void select(Scan scan, boolean overload) {
+    scan.selected = true;
+    List<Part> ranked = new ArrayList<>(scan.parts);
+    ranked.sort(Comparator.comparingDouble((Part p) -> -p.weight).thenComparingInt(p -> p.shard));
+    scan.parts.clear();
+    scan.parts.addAll(ranked);
+    if (ranked.isEmpty() || scan.limitAt - now <= margin() || overload && scan.overShare) {
+      giveUp(scan);
+      return;
+    }
+    if (scan.type.floor() >= scan.type.need() || ranked.stream().noneMatch(this::troubled)) {
+      return;
+    }
+    int most = ranked.size();
+    int top = (most + 1) / 2;
+    double weight = 0;
+    for (int rank = 0; rank < most; rank++) {
+      Part part = ranked.get(rank);
+      // Exception: what the floor needs counts as top, as an answer from less may not be given.
+      top = weight < scan.type.floor() ? Math.max(top, rank + 1) : top;
+      weight += part.weight;
+      double cap = cap(part.shard);
+      double fall = rank < top ? 0 : (rank - top + 1.0) / (most - top);
+      double threshold = cap * (1 - fall * (1 - IDLE));
+      double load = load(part.shard);
+      if (rank < top ? load > cap : load >= threshold) {
+        part.stage = Stage.UNSENT;
+      } else {
+        first(part);
+      }
+    }
+  }
+
+  private boolean troubled(Part part) {
+    Shard shard = shard(part.shard);
+    return shard.capPerReplica < CAP_START || now - shard.troubledAt < TROUBLE_US;
+  }
+
+  private Shard shard(int number) {
+    return shards.computeIfAbsent(number, absent -> new Shard(CAP_START));
+  }
+
+  private double cap(int shard) {
+    return shard(shard).capPerReplica * holders(shard).size();
+  }
+
+  private int load(int shard) {
+    return holders(shard).stream().mapToInt(srv -> srv.out.size()).sum();
+  }
+
+  private List<ShardServer> holders(int shard) {
+    List<ShardServer> holders = new ArrayList<>();
+    Settings.Layout layout = settings.layout();
+    for (int j = 0; j < layout.width() && j < layout.positions(); j++) {
+      holders.addAll(byPosition.getOrDefault((shard + j) % layout.positions(), List.of()));
+    }
+    return holders;
+  }
+
+  /** First and further dispatches of a part that is still wanted. */
+  private void pursue(Part part, boolean overload) {
+    if (part.stage == Stage.HELD) {
+      first(part);
+    } else if (part.stage == Stage.SENT && part.dispatches.stream().allMatch(d -> !d.out || d.overdue)) {
+      if (!furtherEver(part)) {
+        part.stage = part.out() == 0 ? Stage.LOST : part.stage;
+      } else if (!overload && budgetLeft() && (part.out() == 0 || settings.limits().secondCopies())) {
+        ShardServer srv = place(part);
+        if (srv != null) {
+          send(part, srv);
+        }
+      }
+      wake(now + patience(part.scan) / 4);
+    }
+  }
+
+  private void first(Part part) {
+    if (holders(part.shard).isEmpty() || now >= part.scan.targetAt) {
+      part.stage = Stage.LOST;
+      return;
+    }
+    ShardServer srv = place(part);
+    if (srv == null) {
+      wake(now + patience(part.scan) / 4);
+    } else {
+      send(part, srv);
+      part.stage = Stage.SENT;
+    }
+  }
+
+  /** Whether the part may get a further dispatch at all, now or later. */
+  private boolean furtherEver(Part part) {
+    int most = Math.min(settings.limits().maxDispatches(), 1 + FURTHER_MOST);
+    if (part.dispatches.size() >= most || now >= part.scan.targetAt) {
+      return false;
+    }
+    if (part.scan.type.repeat() == Repeat.REPLAYABLE || !part.mayHaveRun()) {
+      return true;
+    }
+    if (part.scan.type.repeat() == Repeat.NON_REPLAYABLE) {
+      return false;
+    }
+    for (Dispatch dispatch : part.dispatches) {
+      if (dispatch.out || !dispatch.outcome.neverRan) {
+        return now + settings.tickUs() < dispatch.sentAt + part.scan.type.windowUs();
+      }
+    }
+    return true;
+  }
+
+  private boolean budgetLeft() {
+    Settings.Rules rules = settings.rules();
+    if (rules.ratioSpanUs() <= 0) {
+      taken.clear();
+      return true;
+    }
+    expire(taken, rules.ratioSpanUs());
+    expire(further, rules.ratioSpanUs() + settings.tickUs());
+    return further.size() + 1 <= rules.freeResends() + rules.extraRatio() * taken.size();
+  }
+
+  private void expire(Deque<Long> times, long spanUs) {
+    while (!times.isEmpty() && times.peekFirst() <= now - spanUs) {
+      times.removeFirst();
+    }
+  }
+
+  /** The replica for the next dispatch of a part, or null where none can take it now. */
+  private ShardServer place(Part part) {
+    List<ShardServer> open = new ArrayList<>();
+    for (ShardServer srv : holders(part.shard)) {
+      if (part.dispatches.stream().noneMatch(d -> d.out && d.server == srv) && coldRoom(srv)) {
+        open.add(srv);
+      }
+    }
+    String salt = (part.key.isEmpty() ? part.scan.id : part.key) + '/' + part.shard + '/';
+    open.sort(Comparator.comparingLong((ShardServer srv) -> -hash(salt + srv.id)));
+    if (open.isEmpty()) {
+      return null;
+    }
+    ShardServer home = open.get(0);
+    boolean trial = home.sick && now >= home.trialAt && home.out.isEmpty() && part.dispatches.isEmpty();
+    if (trial && part.scan.type.repeat() != Repeat.NON_REPLAYABLE) {
+      return home;
+    }
+    List<ShardServer> fresh = open.stream()
+        .filter(srv -> part.dispatches.stream().noneMatch(d -> d.server == srv)).toList();
+    List<ShardServer> sound = (fresh.isEmpty() ? open : fresh).stream().filter(srv -> !srv.sick).toList();
+    List<ShardServer> pick = !sound.isEmpty() ? sound : fresh.isEmpty() ? open : fresh;
+    if (pick.get(0) == home && held(home) <= SPILL) {
+      return home;
+    }
+    ShardServer best = pick.get(0);
+    for (ShardServer srv : pick) {
+      best = held(srv) < held(best) ? srv : best;
+    }
+    return best;
+  }
+
+  /** Our own parts at a server, by call where parts share calls; an overdue one tells of a server that stands still. */
+  private double held(ShardServer srv) {
+    double held = 0;
+    long last = -1;
+    for (Dispatch dispatch : srv.out) {
+      held += dispatch.call != last ? 1 : 0;
+      held += dispatch.overdue ? SPILL : 0;
+      last = dispatch.call;
+    }
+    return held;
+  }
+
+  /**
+   * Rule 4. A cold server's capacity is taken as one core's, rising evenly; a gatherer's share of the budget is one
+   * part of as many as there are gatherers, over any window, and stretches the window where it is under one part.
+   */
+  private boolean coldRoom(ShardServer srv) {
+    Settings.Rules rules = settings.rules();
+    long age = now - srv.startedAt;
+    if (srv.startedAt == 0 || age >= rules.coldUs()) {
+      srv.coldSends.clear();
+      return true;
+    }
+    double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
+    double unit = Math.max(typical, shortestTarget * TYPICAL_START) + settings.layout().callUs();
+    double budget = Math.max(SUM_SLACK,
+        capacity * rules.fallMultiple() * rules.tipAfterUs() / (unit * settings.instances()));
+    expire(srv.coldSends, Math.round(rules.tipAfterUs() / Math.min(1, budget)));
+    return srv.coldSends.size() + 1 <= Math.max(1, budget);
+  }
+
+  private void send(Part part, ShardServer srv) {
+    if (srv.callAt != now || srv.callFill >= settings.layout().bundleMax()) {
+      srv.callAt = now;
+      srv.call = ++calls;
+      srv.callFill = 0;
+    }
+    srv.callFill++;
+    Scan scan = part.scan;
+    Dispatch dispatch = new Dispatch(part, part.dispatches.size(), srv, now, srv.call);
+    dispatch.dueAt = now + patience(scan);
+    part.dispatches.add(dispatch);
+    // One dispatch out at a time: it has to end before the next may go.
+    boolean one = !settings.limits().secondCopies() && furtherEver(part);
+    boolean late = scan.type.lateBenefit() > 0 && scan.type.floor() >= scan.type.need();
+    dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt : late ? scan.limitAt : scan.targetAt;
+    if (dispatch.number > 0) {
+      further.add(now);
+    }
+    srv.coldSends.add(now);
+    srv.out.add(dispatch);
+    live.add(dispatch);
+  }
+
+  private long patience(Scan scan) {
+    double least = scan.type.targetUs() * PATIENCE_LEAST;
+    double most = scan.type.targetUs() * PATIENCE_MOST;
+    return Math.round(Math.min(most, Math.max(least, typical * PATIENCE_TYPICAL)));
+  }
+
+  /** When and how a scan ends. */
+  private void conclude(Scan scan) {
+    TableType type = scan.type;
+    double in = 0;
+    double pending = 0;
+    boolean all = true;
+    for (Part part : scan.parts) {
+      if (part.step == scan.step) {
+        in += part.stage == Stage.IN ? part.weight : 0;
+        pending += part.stage == Stage.HELD || part.stage == Stage.SENT ? part.weight : 0;
+        all &= part.stage == Stage.IN;
+      }
+    }
+    boolean first = scan.step == 0;
+    double floor = type.floor() < type.need() ? type.floor() : first ? type.need() : 1;
+    boolean whole = first ? in >= type.need() - SUM_SLACK : all && scan.firstWhole;
+    boolean enough = in >= floor - SUM_SLACK;
+    boolean more = first && type.secondStep() > 0;
+    long answerAt = scan.targetAt - (more ? patience(scan) : margin());
+    long endAt = scan.limitAt - margin();
+    if (whole) {
+      answer(scan, true);
+    } else if (enough && (pending <= 0 || all || now >= answerAt || now >= endAt)) {
+      answer(scan, false);
+    } else if (in + pending < floor - SUM_SLACK || now >= endAt || type.lateBenefit() <= 0 && now >= scan.targetAt) {
+      giveUp(scan);
+    } else {
+      wake(now < answerAt ? answerAt : now < scan.targetAt ? scan.targetAt : endAt);
+      wake(endAt);
+    }
+  }
+
+  private void answer(Scan scan, boolean whole) {
+    if (scan.step == 0 && scan.type.secondStep() > 0) {
+      actions.add(new Action.Answer(scan.id, whole));
+      scan.step = 1;
+      scan.firstWhole = whole;
+      scan.parts.forEach(this::drop);
+      scan.selected = true;
+    } else {
+      close(scan, whole ? Verdict.ANSWER_WHOLE : Verdict.ANSWER_IN_PART);
+    }
+  }
+
+  /** A throttling reply says that trying again is harmless. */
+  private void giveUp(Scan scan) {
+    boolean harmless = scan.type.repeat() == Repeat.REPLAYABLE || scan.parts.stream().noneMatch(Part::mayHaveRun);
+    close(scan, harmless ? Verdict.THROTTLE : Verdict.ABANDON);
+  }
+
+  private void close(Scan scan, Verdict verdict) {
+    scan.verdict = verdict;
+    scans.remove(scan.id);
+    byNumber.remove(scan.number);
+    switch (verdict) {
+      case ANSWER_WHOLE, ANSWER_IN_PART ->
+          actions.add(new Action.Answer(scan.id, verdict == Verdict.ANSWER_WHOLE));
+      case THROTTLE -> actions.add(new Action.Throttle(scan.id,
+          settings.limits().holdOff() ? Math.min(shortestTarget, settings.limits().maxHoldOffUs()) : 0));
+      case ABANDON -> actions.add(new Action.Abandon(scan.id));
+      default -> { }
+    }
+    for (Part part : scan.parts) {
+      drop(part);
+      forget(part);
+    }
+  }
+
+  /** Nothing of the part is wanted any longer. */
+  private void drop(Part part) {
+    for (Dispatch dispatch : List.copyOf(part.dispatches)) {
+      dispatch.wanted = false;
+      if (!dispatch.sent && dispatch.out) {
+        dispatch.out = false;
+        dispatch.outcome = Outcome.NEVER_SENT;
+        dispatch.server.out.remove(dispatch);
+        live.remove(dispatch);
+        part.dispatches.remove(dispatch);
+      }
+    }
+  }
+
+  private void wake(long at) {
+    wakeAt = Math.min(wakeAt, at);
+  }
+
+  // ---- the one place that turns what is wanted into actions
+
+  private void settle() {
+    if (settings.limits().listOnRequest()) {
+      boolean silent = following && !followAnswered && now >= askAt + settings.rules().askEveryUs();
+      if (!following && now >= askAt || silent) {
+        actions.add(new Action.Follow(true));
+        following = true;
+        followAnswered = false;
+        askAt = now;
+      }
+      wake(following ? followAnswered ? Long.MAX_VALUE : askAt + settings.rules().askEveryUs() : askAt);
+    }
+    for (Dispatch dispatch : live) {
+      if (dispatch.wanted && !dispatch.sent) {
+        dispatch.sent = true;
+        actions.add(new Action.Send(dispatch.part.id, dispatch.server.id, dispatch.stopAt));
+      } else if (!dispatch.wanted && !dispatch.cancelled && settings.limits().cancel()) {
+        dispatch.cancelled = true;
+        actions.add(new Action.Cancel(dispatch.part.id, dispatch.number));
+      }
+    }
+    if (wakeAt < Long.MAX_VALUE && (wakeAt < armedAt || armedAt <= now)) {
+      armedAt = Math.max(wakeAt, now + settings.tickUs());
+      actions.add(new Action.SetTimer(armedAt - now, ++timers));
+    }
+  }
+
+  private long margin() {
+    return MARGIN_TICKS * settings.tickUs();
+  }
+
+  private long askLeast() {
+    return Math.min(TROUBLE_US, settings.rules().askEveryUs() / 10);
+  }
+
+  private static long hash(String text) {
+    CRC32 crc = new CRC32();
+    crc.update(text.getBytes(StandardCharsets.UTF_8));
+    return crc.getValue();
+  }
+
+  /** A number from 0 to under 1. */
+  private double chance() {
+    return hash(seed + ":" + ++chances) / (double) (1L << 32);
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/model/Action.java
@@ -0,0 +1,27 @@
+package tidebank.model;
+
+/** What an instance wants done, in this order. */
+public sealed interface Action {
+  /** Send a part; the dispatch is dropped at {@code stopAt}. */
+  record Send(String part, String server, long stopAt) implements Action {}
+
+  /** Stop waiting for a dispatch. */
+  record Cancel(String part, int dispatch) implements Action {}
+
+  /** Answer a scan from the parts that are in. */
+  record Answer(String scan, boolean whole) implements Action {}
+
+  /** Turn a scan away: trying again is harmless. */
+  record Throttle(String scan, long holdOffUs) implements Action {}
+
+  /** Give a scan up: no promise about its effect. */
+  record Abandon(String scan) implements Action {}
+
+  record SetTimer(long waitUs, long token) implements Action {}
+
+  record Probe(String server) implements Action {}
+
+  record Follow(boolean on) implements Action {}
+
+  record Note(String text) implements Action {}
+}
--- /dev/null
+++ b/src/main/java/tidebank/model/Dispatch.java
@@ -0,0 +1,27 @@
+package tidebank.model;
+
+/** State that lives as long as one dispatch. */
+public final class Dispatch {
+  public final Part part;
+  public final int number;
+  public final ShardServer server;
+  public final long sentAt;
+  public final long call;
+  public long dueAt;
+  public long stopAt;
+  public boolean overdue;
+  /** Wanted and not yet ended; what is wanted but not yet sent counts as out. */
+  public boolean out = true;
+  public boolean wanted = true;
+  public boolean sent;
+  public boolean cancelled;
+  public Outcome outcome;
+
+  public Dispatch(Part part, int number, ShardServer server, long sentAt, long call) {
+    this.part = part;
+    this.number = number;
+    this.server = server;
+    this.sentAt = sentAt;
+    this.call = call;
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/model/Event.java
@@ -0,0 +1,45 @@
+package tidebank.model;
+
+import java.util.List;
+import java.util.Map;
+
+/** What an instance is told. */
+public sealed interface Event {
+  enum ListKind {
+    CHANGES,
+    FULL,
+    REMEMBERED,
+    LOST
+  }
+
+  enum ServerStatus {
+    IN_SERVICE,
+    DRAINING,
+    GONE
+  }
+
+  /** One line of the list of shard servers; {@code startedAt} is 0 where the start is long past. */
+  record Listed(String server, int position, ServerStatus status, long startedAt, double rating) {}
+
+  /** The list of shard servers, or what changed in it. */
+  record ListSeen(ListKind kind, List<Listed> entries) implements Event {}
+
+  /** A scan to be given one final answer before {@code limitAt}. */
+  record ScanTaken(String id, long number, String type, String account, long limitAt, boolean resent)
+      implements Event {}
+
+  /** A part of the scan with this number. */
+  record PartTaken(String id, long number, int shard, double weight, String key) implements Event {}
+
+  /** A dispatch's one end. {@code closed}: no dispatch of this part can matter any more. */
+  record DispatchEnded(
+      String part, int dispatch, Outcome outcome, long tookUs, boolean closed, Map<String, Double> report)
+      implements Event {}
+
+  /** A scan whose client has left. */
+  record ScanLapsed(String id) implements Event {}
+
+  record TimerDue(long token) implements Event {}
+
+  record Probed(String server, Outcome outcome, long tookUs, Map<String, Double> report) implements Event {}
+}
--- /dev/null
+++ b/src/main/java/tidebank/model/Outcome.java
@@ -0,0 +1,20 @@
+package tidebank.model;
+
+/** How a dispatch or a probe ended. */
+public enum Outcome {
+  COMPLETED(false),
+  ERROR(false),
+  FULL(true),
+  TIMED_OUT(false),
+  UNREACHABLE(true),
+  BROKEN(false),
+  CANCELLED(false),
+  NEVER_SENT(true);
+
+  /** True where this end proves that the dispatch never ran. */
+  public final boolean neverRan;
+
+  Outcome(boolean neverRan) {
+    this.neverRan = neverRan;
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/model/Part.java
@@ -0,0 +1,53 @@
+package tidebank.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** State of one part; it lives as long as its scan, or until the last of its dispatches has ended. */
+public final class Part {
+  /** HELD: to be sent; UNSENT: left out on purpose; IN: its answer came; LOST: nothing more can be done. */
+  public enum Stage {
+    HELD,
+    SENT,
+    UNSENT,
+    IN,
+    LOST
+  }
+
+  public final String id;
+  public final Scan scan;
+  public final int shard;
+  public final double weight;
+  public final String key;
+  public final int step;
+  public final List<Dispatch> dispatches = new ArrayList<>();
+  public Stage stage;
+
+  public Part(String id, Scan scan, int shard, double weight, String key, int step) {
+    this.id = id;
+    this.scan = scan;
+    this.shard = shard;
+    this.weight = weight;
+    this.key = key;
+    this.step = step;
+  }
+
+  public int out() {
+    int out = 0;
+    for (Dispatch d : dispatches) {
+      if (d.out) {
+        out++;
+      }
+    }
+    return out;
+  }
+
+  public boolean mayHaveRun() {
+    for (Dispatch d : dispatches) {
+      if (d.out || !d.outcome.neverRan) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/model/Scan.java
@@ -0,0 +1,42 @@
+package tidebank.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** State that lives as long as one scan. */
+public final class Scan {
+  /** What is wanted for the scan. */
+  public enum Verdict {
+    OPEN,
+    ANSWER_WHOLE,
+    ANSWER_IN_PART,
+    THROTTLE,
+    ABANDON,
+    LEFT
+  }
+
+  public final String id;
+  public final long number;
+  public final TableType type;
+  public final String account;
+  public final long takenAt;
+  public final long limitAt;
+  public final boolean resent;
+  public final List<Part> parts = new ArrayList<>();
+  public long targetAt;
+  public int step;
+  public boolean selected;
+  public boolean firstWhole;
+  public boolean overShare;
+  public Verdict verdict = Verdict.OPEN;
+
+  public Scan(String id, long number, TableType type, String account, long takenAt, long limitAt, boolean resent) {
+    this.id = id;
+    this.number = number;
+    this.type = type;
+    this.account = account;
+    this.takenAt = takenAt;
+    this.limitAt = limitAt;
+    this.resent = resent;
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/model/Settings.java
@@ -0,0 +1,42 @@
+package tidebank.model;
+
+import java.util.Map;
+
+/** The settings an instance is started with. Times are whole microseconds. */
+public record Settings(
+    int instances,
+    long tickUs,
+    Map<String, TableType> tableTypes,
+    Map<String, Double> allowances,
+    double overShareBenefit,
+    Layout layout,
+    Limits limits,
+    Rules rules) {
+
+  /** Shard s is held by the shard servers of the positions s to s + width - 1, taken around the ring. */
+  public record Layout(int shards, int positions, int width, int bundleMax, long callUs) {}
+
+  /** What the deployment permits. */
+  public record Limits(
+      int maxDispatches,
+      boolean secondCopies,
+      boolean cancel,
+      boolean probes,
+      boolean holdOff,
+      long maxHoldOffUs,
+      int mostHeld,
+      boolean listOnRequest) {}
+
+  /** Figures of the rules. The three of the budget are present together or {@code ratioSpanUs} is 0. */
+  public record Rules(
+      long answerSlackUs,
+      long askEveryUs,
+      long drainGraceUs,
+      double coldFrom,
+      long coldUs,
+      double fallMultiple,
+      long tipAfterUs,
+      double freeResends,
+      double extraRatio,
+      long ratioSpanUs) {}
+}
--- /dev/null
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -0,0 +1,32 @@
+package tidebank.model;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/** State that lives as long as an instance knows a shard server. */
+public final class ShardServer {
+  public final String id;
+  public int position;
+  public boolean inService;
+  public long startedAt;
+  /** The call that parts sent at this moment share, and how many share it so far. */
+  public long callAt = -1;
+  public long call;
+  public int callFill;
+  public final List<Dispatch> out = new ArrayList<>();
+  /** When parts were sent while the server counted as cold. */
+  public final Deque<Long> coldSends = new ArrayDeque<>();
+  /** Log-likelihood ratio of the sequential test; above its bound the server is held to be sick. */
+  public double doubt;
+  public boolean sick;
+  public boolean down;
+  public long trialAt;
+  public long trialWait;
+  public long strainedAt = Long.MIN_VALUE / 2;
+
+  public ShardServer(String id) {
+    this.id = id;
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/package-info.java
@@ -0,0 +1,2 @@
+/** The decisions ({@link tidebank.Brain}) and the command line ({@link tidebank.Main}). */
+package tidebank;
--- /dev/null
+++ b/src/main/java/tidebank/sim/ActionCodec.java
@@ -0,0 +1,60 @@
+package tidebank.sim;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import tidebank.model.Action;
+
+/** Writes the module's actions in the wire's words. */
+final class ActionCodec {
+  private ActionCodec() {}
+
+  static void write(JsonGenerator out, long instance, Action action) throws IOException {
+    if (action instanceof Action.Send send) {
+      open(out, "Assign", instance);
+      out.writeStringField("handle", send.part());
+      out.writeStringField("server", send.server());
+      out.writeNumberField("stopAtMs", Json.millis(send.stopAt()));
+    } else if (action instanceof Action.Cancel cancel) {
+      open(out, "CallOff", instance);
+      out.writeStringField("handle", cancel.part());
+      out.writeNumberField("try", cancel.dispatch());
+    } else if (action instanceof Action.Answer answer) {
+      open(out, "WrapUp", instance);
+      out.writeStringField("handle", answer.scan());
+      out.writeBooleanField("complete", answer.whole());
+    } else if (action instanceof Action.Throttle throttle) {
+      open(out, "Busy", instance);
+      out.writeStringField("handle", throttle.scan());
+      out.writeNumberField("holdOffMs", Json.millis(throttle.holdOffUs()));
+    } else if (action instanceof Action.Abandon abandon) {
+      open(out, "ReportFailure", instance);
+      out.writeStringField("handle", abandon.scan());
+    } else if (action instanceof Action.SetTimer timer) {
+      open(out, "SetTimer", instance);
+      out.writeNumberField("waitMs", Json.millis(timer.waitUs()));
+      out.writeNumberField("label", timer.token());
+    } else if (action instanceof Action.Probe probe) {
+      open(out, "Touch", instance);
+      out.writeStringField("server", probe.server());
+    } else if (action instanceof Action.Follow follow) {
+      open(out, "Follow", instance);
+      out.writeBooleanField("complete", follow.on());
+    } else if (action instanceof Action.Note note) {
+      open(out, "Trace", instance);
+      out.writeStringField("noteText", note.text());
+    }
+    out.writeEndObject();
+  }
+
+  static void writeBailOut(JsonGenerator out, long instance, String text) throws IOException {
+    open(out, "BailOut", instance);
+    out.writeStringField("noteText", text);
+    out.writeEndObject();
+  }
+
+  private static void open(JsonGenerator out, String kind, long instance) throws IOException {
+    out.writeStartObject();
+    out.writeStringField("kind", kind);
+    out.writeNumberField("who", instance);
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/sim/SettingsCodec.java
@@ -0,0 +1,100 @@
+package tidebank.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import tidebank.model.Repeat;
+import tidebank.model.Settings;
+import tidebank.model.TableType;
+
+/** Reads an instance's settings. A figure that is absent becomes the one that permits or promises nothing. */
+final class SettingsCodec {
+  private static final double MS_NEVER = 1e12;
+
+  private SettingsCodec() {}
+
+  static Settings read(JsonNode config) throws WireFault {
+    JsonNode limits = table(config, "limits");
+    JsonNode rules = table(config, "guarantees");
+    JsonNode layout = table(config, "specifics");
+    Map<String, TableType> types = new LinkedHashMap<>();
+    JsonNode services = table(config, "services");
+    for (int i = 0; i < services.size(); i++) {
+      TableType type = tableType(services.get(i), layout, i);
+      types.put(type.name(), type);
+    }
+    Map<String, Double> allowances = new LinkedHashMap<>();
+    for (JsonNode tenant : table(config, "tenants")) {
+      double perSecond = Json.number(tenant, "allowancePerS", 0);
+      if (perSecond > 0) {
+        allowances.put(Json.text(tenant, "name"), perSecond);
+      }
+    }
+    return new Settings(
+        Math.max(1, Json.whole(config, "instances", 1)),
+        Math.max(1, Json.micros(config, "tickMs", 1)),
+        types,
+        allowances,
+        Json.number(config, "overShareWorth", 1),
+        new Settings.Layout(
+            Math.max(0, Json.whole(layout, "slices", 0)),
+            Math.max(0, Json.whole(layout, "positions", 0)),
+            Math.max(0, Json.whole(layout, "width", 0)),
+            Math.max(1, Json.whole(layout, "bundleMax", 1)),
+            Json.micros(layout, "callMs", 0)),
+        new Settings.Limits(
+            Math.max(1, Json.whole(limits, "maxAttempts", 1)),
+            Json.flag(limits, "secondCopies"),
+            Json.flag(limits, "cancel"),
+            Json.flag(limits, "mayProbe"),
+            Json.flag(limits, "retryAfter"),
+            Json.micros(limits, "maxRetryAfterMs", 0),
+            Json.whole(limits, "mostHeld", Integer.MAX_VALUE),
+            Json.text(config, "discovery", "push").equals("ask")),
+        new Settings.Rules(
+            Json.micros(rules, "answerSlackMs", 0),
+            Json.micros(rules, "askEveryMs", MS_NEVER),
+            Json.micros(rules, "stopSendingWithinMs", 0),
+            Json.number(rules, "coldFrom", 0),
+            Json.micros(rules, "coldMs", 0),
+            Json.number(rules, "fallMultiple", 1),
+            Json.micros(rules, "tipAfterMs", 0),
+            Json.number(rules, "freeResends", 0),
+            Json.number(rules, "extraRatio", 0),
+            Json.micros(rules, "ratioSpanMs", 0)));
+  }
+
+  private static TableType tableType(JsonNode service, JsonNode layout, int row) throws WireFault {
+    return new TableType(
+        Json.text(service, "name"),
+        repeat(Json.text(service, "semantics", "")),
+        Json.micros(service, "windowMs", 0),
+        Json.micros(service, "onTimeMs", Json.number(service, "deadlineMs", 0)),
+        Json.micros(service, "deadlineMs", 0),
+        Json.number(service, "worth", 1),
+        Json.number(service, "lateWorth", 0),
+        perRow(layout, "floorByClass", row, 1),
+        perRow(layout, "classNeed", row, 1),
+        perRow(layout, "incompleteWorth", row, 0),
+        (int) perRow(layout, "secondStep", row, 0));
+  }
+
+  private static Repeat repeat(String semantics) {
+    return switch (semantics) {
+      case "read_like" -> Repeat.REPLAYABLE;
+      case "idempotency_key" -> Repeat.KEYED;
+      default -> Repeat.NON_REPLAYABLE;
+    };
+  }
+
+  private static double perRow(JsonNode layout, String field, int row, double absent) {
+    JsonNode value = table(layout, field).get(row);
+    return value == null || !value.isNumber() ? absent : value.doubleValue();
+  }
+
+  private static JsonNode table(JsonNode node, String field) {
+    JsonNode value = node.get(field);
+    return value == null || value.isNull() ? MissingNode.getInstance() : value;
+  }
+}
