--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -244,7 +244,10 @@
         halve(shard);
         srv.strainedAt = now;
       }
-      case TIMED_OUT -> overdue(dispatch);
+      case TIMED_OUT -> {
+        overdue(dispatch);
+        halve(shard);
+      }
       case ERROR -> doubt(srv, DOUBT_BAD);
       case BROKEN, UNREACHABLE -> {
         srv.down = true;
@@ -257,7 +260,6 @@
   private void overdue(Dispatch dispatch) {
     if (!dispatch.overdue) {
       dispatch.overdue = true;
-      halve(shard(dispatch.part.shard));
       dispatch.server.strainedAt = now;
       doubt(dispatch.server, DOUBT_BAD);
     }
