Overload is seen on sick servers too, and halves caps on overdue dispatches

Cause: servers merely overloaded turned sick on overdue dispatches and fell out of the overload count, so second copies went on. Guards against any fleet-wide slowness; harms where a third of the servers stand still for another reason.

--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -262,6 +262,9 @@
       dispatch.overdue = true;
       dispatch.server.strainedAt = now;
       doubt(dispatch.server, DOUBT_BAD);
+      if (overload()) {
+        halve(shard(dispatch.part.shard));
+      }
     }
   }
 
@@ -285,7 +288,7 @@
     for (ShardServer srv : servers.values()) {
       if (srv.inService) {
         listed++;
-        if (!srv.sick && now - srv.strainedAt < TROUBLE_US) {
+        if (!srv.down && now - srv.strainedAt < TROUBLE_US) {
           strained++;
         }
       }
