--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -37,6 +37,7 @@
   private static final double SPILL = 4;
   private static final double IDLE = 0.1;
   private static final double HALF = 0.5;
+  private static final double BOOST_GAIN = 1.0 / 128;
   private static final long TROUBLE_US = 1_000_000;
   // Shares of a target time: how long a dispatch may take at the least and at the most before it is overdue.
   private static final double PATIENCE_LEAST = 0.2;
@@ -73,6 +74,8 @@
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
   private double typical;
+  /** T as a share of the parts: half at start and under overload, growing to all with answers in time. */
+  private double boost = HALF;
   private long calls;
   private long now;
   private long wakeAt;
@@ -234,6 +237,7 @@
         }
         if (!dispatch.overdue) {
           typical += (tookUs - typical) * LEARN;
+          boost = Math.min(1, boost + BOOST_GAIN);
           shard.capPerReplica += 1.0 / Math.max(1, holders(dispatch.part.shard).size());
           srv.doubt = srv.sick ? DOUBT_BOUND * HALF : Math.max(0, srv.doubt + DOUBT_GOOD);
           srv.sick = false;
@@ -305,6 +309,7 @@
       }
     }
     boolean overload = overload();
+    boost = overload ? HALF : boost;
     for (Scan scan : List.copyOf(scans.values())) {
       if (!scan.selected) {
         select(scan, overload);
@@ -338,7 +343,7 @@
       return;
     }
     int most = ranked.size();
-    int top = (most + 1) / 2;
+    int top = (int) Math.ceil(most * boost);
     double weight = 0;
     for (int rank = 0; rank < most; rank++) {
       Part part = ranked.get(rank);
