Patience raised to 0.33-0.6 of the target time

Cause: second copies and early time-outs ate capacity that running work does not give back. Kept; a hung server is noticed later.

--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -40,9 +40,9 @@
   private static final double BOOST_GAIN = 1.0 / 128;
   private static final long TROUBLE_US = 1_000_000;
   // Shares of a target time: how long a dispatch may take at the least and at the most before it is overdue.
-  private static final double PATIENCE_LEAST = 0.2;
-  private static final double PATIENCE_MOST = 0.4;
-  private static final double PATIENCE_TYPICAL = 4;
+  private static final double PATIENCE_LEAST = 0.33;
+  private static final double PATIENCE_MOST = 0.6;
+  private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
   private static final double LEARN = 1.0 / 32;
   // The sequential test: the share of bad ends of a sound and of a sick server, and the error it may make.
