A home's overflow figure starts at 4 and follows how its answers come

Cause: homes queue parts while other replicas idle. Guards against any slow replica; harms warm keys a little.

--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -34,7 +34,10 @@
 public final class Brain {
   // The design's figures.
   private static final double CAP_START = 8;
-  private static final double SPILL = 4;
+  private static final double SPILL_START = 4;
+  private static final double SPILL_LEAST = 1;
+  private static final double SPILL_GAIN = 1.0 / 16;
+  private static final double SLOW = 2;
   private static final double IDLE = 0.1;
   private static final double HALF = 0.5;
   private static final double BOOST_GAIN = 1.0 / 128;
@@ -149,7 +152,7 @@
       servers.values().forEach(srv -> srv.inService = false);
     }
     for (Event.Listed line : list.entries()) {
-      ShardServer srv = servers.computeIfAbsent(line.server(), ShardServer::new);
+      ShardServer srv = servers.computeIfAbsent(line.server(), id -> new ShardServer(id, SPILL_START));
       srv.position = line.position();
       srv.inService = line.status() == Event.ServerStatus.IN_SERVICE;
       if (line.startedAt() > srv.startedAt) {
@@ -229,6 +232,9 @@
   private void judge(Dispatch dispatch, long tookUs) {
     ShardServer srv = dispatch.server;
     Shard shard = shard(dispatch.part.shard);
+    // The overflow figure of a home starts at the page's and follows how its answers come.
+    boolean quick = dispatch.outcome == Outcome.COMPLETED && tookUs <= SLOW * typical;
+    srv.spill = quick ? Math.min(SPILL_START, srv.spill + SPILL_GAIN) : Math.max(SPILL_LEAST, srv.spill * HALF);
     switch (dispatch.outcome) {
       case COMPLETED -> {
         if (srv.down) {
@@ -478,7 +484,7 @@
         .filter(srv -> part.dispatches.stream().noneMatch(d -> d.server == srv)).toList();
     List<ShardServer> sound = (fresh.isEmpty() ? open : fresh).stream().filter(srv -> !srv.sick).toList();
     List<ShardServer> pick = !sound.isEmpty() ? sound : fresh.isEmpty() ? open : fresh;
-    if (pick.get(0) == home && held(home) <= SPILL) {
+    if (pick.get(0) == home && held(home) <= home.spill) {
       return home;
     }
     ShardServer best = pick.get(0);
@@ -494,7 +500,7 @@
     long last = -1;
     for (Dispatch dispatch : srv.out) {
       held += dispatch.call != last ? 1 : 0;
-      held += dispatch.overdue ? SPILL : 0;
+      held += dispatch.overdue ? SPILL_START : 0;
       last = dispatch.call;
     }
     return held;
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -20,13 +20,17 @@
   public final Deque<Long> coldSends = new ArrayDeque<>();
   /** Log-likelihood ratio of the sequential test; above its bound the server is held to be sick. */
   public double doubt;
+
+  /** How many of our parts it may hold as a home before a part goes elsewhere. */
+  public double spill;
   public boolean sick;
   public boolean down;
   public long trialAt;
   public long trialWait;
   public long strainedAt = Long.MIN_VALUE / 2;
 
-  public ShardServer(String id) {
+  public ShardServer(String id, double spill) {
     this.id = id;
+    this.spill = spill;
   }
 }
