Without second copies, an overdue part is called back only from a sick server

Cause: time-outs at patience dropped work that was queued and about to run, and the resends queued again. Guards against slow queues of any cause; a hung server costs two overdue parts before it is left.

--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -401,10 +401,13 @@
     } else if (part.stage == Stage.SENT && part.dispatches.stream().allMatch(d -> !d.out || d.overdue)) {
       if (!furtherEver(part)) {
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
-      } else if (!overload && budgetLeft() && (part.out() == 0 || settings.limits().secondCopies())) {
+      } else if (!overload && budgetLeft()) {
         ShardServer srv = place(part);
-        if (srv != null) {
+        if (srv != null && (part.out() == 0 || settings.limits().secondCopies())) {
           send(part, srv);
+        } else if (srv != null && !srv.sick) {
+          // One dispatch out at a time: it is called back from a sick server first, and sent on when it has ended.
+          part.dispatches.forEach(d -> d.wanted &= !d.server.sick);
         }
       }
       wake(now + patience(part.scan) / 4);
@@ -536,8 +539,8 @@
     Dispatch dispatch = new Dispatch(part, part.dispatches.size(), srv, now, srv.call);
     dispatch.dueAt = now + patience(scan);
     part.dispatches.add(dispatch);
-    // One dispatch out at a time: it has to end before the next may go.
-    boolean one = !settings.limits().secondCopies() && furtherEver(part);
+    // Where it could not be called back, a dispatch has to end by itself before the next may go.
+    boolean one = !settings.limits().secondCopies() && !settings.limits().cancel() && furtherEver(part);
     boolean late = scan.type.lateBenefit() > 0 && scan.type.floor() >= scan.type.need();
     dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt : late ? scan.limitAt : scan.targetAt;
     if (dispatch.number > 0) {
