--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -70,6 +70,7 @@
   private final Map<String, Scan> scans = new LinkedHashMap<>();
   private final Map<Long, Scan> byNumber = new HashMap<>();
   private final Map<String, Part> parts = new HashMap<>();
+  private final List<Scan> decided = new ArrayList<>();
   private final List<Dispatch> live = new ArrayList<>();
   private final Map<String, double[]> buckets = new HashMap<>();
   private final Deque<Long> taken = new ArrayDeque<>();
@@ -131,7 +132,7 @@
       takeEnd(ended);
     } else if (event instanceof Event.ScanLapsed lapsed) {
       Scan scan = scans.get(lapsed.id());
-      if (scan != null) {
+      if (scan != null && scan.verdict == Verdict.OPEN) {
         close(scan, Verdict.LEFT);
       }
     }
@@ -563,8 +564,10 @@
     double in = 0;
     double pending = 0;
     boolean all = true;
+    boolean none = true;
     for (Part part : scan.parts) {
       if (part.step == scan.step) {
+        none = false;
         in += part.stage == Stage.IN ? part.weight : 0;
         pending += part.stage == Stage.HELD || part.stage == Stage.SENT ? part.weight : 0;
         all &= part.stage == Stage.IN;
@@ -574,13 +577,14 @@
     double floor = type.floor() < type.need() ? type.floor() : first ? type.need() : 1;
     boolean whole = first ? in >= type.need() - SUM_SLACK : all && scan.firstWhole;
     boolean enough = in >= floor - SUM_SLACK;
-    boolean more = first && type.secondStep() > 0;
-    long answerAt = scan.targetAt - (more ? patience(scan) : margin());
+    long answerAt = scan.targetAt - (moreSteps(scan) ? patience(scan) : margin());
     long endAt = scan.limitAt - margin();
-    if (whole) {
-      answer(scan, true);
+    if (none && now < endAt) {
+      wake(endAt);
+    } else if (whole && !none) {
+      close(scan, Verdict.ANSWER_WHOLE);
     } else if (enough && (pending <= 0 || all || now >= answerAt || now >= endAt)) {
-      answer(scan, false);
+      close(scan, Verdict.ANSWER_IN_PART);
     } else if (in + pending < floor - SUM_SLACK || now >= endAt || type.lateBenefit() <= 0 && now >= scan.targetAt) {
       giveUp(scan);
     } else {
@@ -589,18 +593,6 @@
     }
   }
 
-  private void answer(Scan scan, boolean whole) {
-    if (scan.step == 0 && scan.type.secondStep() > 0) {
-      actions.add(new Action.Answer(scan.id, whole));
-      scan.step = 1;
-      scan.firstWhole = whole;
-      scan.parts.forEach(this::drop);
-      scan.selected = true;
-    } else {
-      close(scan, whole ? Verdict.ANSWER_WHOLE : Verdict.ANSWER_IN_PART);
-    }
-  }
-
   /** A throttling reply says that trying again is harmless. */
   private void giveUp(Scan scan) {
     boolean harmless = scan.type.repeat() == Repeat.REPLAYABLE || scan.parts.stream().noneMatch(Part::mayHaveRun);
@@ -609,20 +601,8 @@
 
   private void close(Scan scan, Verdict verdict) {
     scan.verdict = verdict;
-    scans.remove(scan.id);
-    byNumber.remove(scan.number);
-    switch (verdict) {
-      case ANSWER_WHOLE, ANSWER_IN_PART ->
-          actions.add(new Action.Answer(scan.id, verdict == Verdict.ANSWER_WHOLE));
-      case THROTTLE -> actions.add(new Action.Throttle(scan.id,
-          settings.limits().holdOff() ? Math.min(shortestTarget, settings.limits().maxHoldOffUs()) : 0));
-      case ABANDON -> actions.add(new Action.Abandon(scan.id));
-      default -> { }
-    }
-    for (Part part : scan.parts) {
-      drop(part);
-      forget(part);
-    }
+    decided.add(scan);
+    scan.parts.forEach(this::drop);
   }
 
   /** Nothing of the part is wanted any longer. */
@@ -646,6 +626,10 @@
   // ---- the one place that turns what is wanted into actions
 
   private void settle() {
+    for (Scan scan : decided) {
+      announce(scan);
+    }
+    decided.clear();
     if (settings.limits().listOnRequest()) {
       boolean silent = following && !followAnswered && now >= askAt + settings.rules().askEveryUs();
       if (!following && now >= askAt || silent) {
@@ -671,6 +655,30 @@
     }
   }
 
+  private void announce(Scan scan) {
+    boolean whole = scan.verdict == Verdict.ANSWER_WHOLE;
+    switch (scan.verdict) {
+      case ANSWER_WHOLE, ANSWER_IN_PART -> actions.add(new Action.Answer(scan.id, whole));
+      case THROTTLE -> actions.add(new Action.Throttle(scan.id, settings.limits().holdOff()
+          ? Math.min(shortestTarget, settings.limits().maxHoldOffUs()) : 0));
+      case ABANDON -> actions.add(new Action.Abandon(scan.id));
+      default -> { }
+    }
+    if ((whole || scan.verdict == Verdict.ANSWER_IN_PART) && moreSteps(scan)) {
+      scan.step++;
+      scan.firstWhole = whole;
+      scan.verdict = Verdict.OPEN;
+    } else {
+      scans.remove(scan.id);
+      byNumber.remove(scan.number);
+      scan.parts.forEach(this::forget);
+    }
+  }
+
+  private static boolean moreSteps(Scan scan) {
+    return scan.step == 0 && scan.type.secondStep() > 0;
+  }
+
   private long margin() {
     return MARGIN_TICKS * settings.tickUs();
   }
