--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -135,6 +135,8 @@
       if (scan != null && scan.verdict == Verdict.OPEN) {
         close(scan, Verdict.LEFT);
       }
+    } else if (event instanceof Event.TimerDue due && due.token() == timers) {
+      armedAt = Long.MAX_VALUE;
     }
   }
 
@@ -649,7 +651,7 @@
         actions.add(new Action.Cancel(dispatch.part.id, dispatch.number));
       }
     }
-    if (wakeAt < Long.MAX_VALUE && (wakeAt < armedAt || armedAt <= now)) {
+    if (wakeAt < Long.MAX_VALUE && wakeAt < armedAt) {
       armedAt = Math.max(wakeAt, now + settings.tickUs());
       actions.add(new Action.SetTimer(armedAt - now, ++timers));
     }
--- /dev/null
+++ b/src/test/java/tidebank/BrainTest.java
@@ -0,0 +1,313 @@
+package tidebank;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static tidebank.FakeHost.MS;
+import static tidebank.FakeHost.line;
+import static tidebank.FakeHost.sent;
+import static tidebank.FakeHost.servers;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import tidebank.model.Action;
+import tidebank.model.Event;
+import tidebank.model.Event.ListKind;
+import tidebank.model.Event.ServerStatus;
+import tidebank.model.Outcome;
+import tidebank.model.Repeat;
+import tidebank.model.Settings;
+import tidebank.model.TableType;
+
+class BrainTest {
+  private final FakeHost host = new FakeHost();
+
+  // ---- the design's ordinary path
+
+  @Test
+  void whileNothingIsWrongAllPartsGoAndTheAnswerIsWhole() {
+    host.start();
+    assertThat(sent(host.scan("q", "part", 0.4, 0.3, 0.2, 0.1))).containsExactly("q0", "q1", "q2", "q3");
+    host.end(Outcome.COMPLETED, "q0", "q1", "q2", "q3");
+    assertThat(host.verdicts()).containsExactly(new Action.Answer("q", true));
+  }
+
+  @Test
+  void afterARefusalLightPartsStayUnsentAndTheAnswerIsPartial() {
+    host.start();
+    host.scan("a", "whole", 0.25, 0.25, 0.25, 0.25);
+    host.end(Outcome.FULL, "a0");
+    assertThat(sent(host.scan("q", "part", 0.1, 0.4, 0.2, 0.3))).containsExactly("q1", "q3", "q2");
+    host.end(Outcome.COMPLETED, "q1", "q3", "q2");
+    assertThat(host.verdicts()).containsExactly(new Action.Answer("q", false));
+  }
+
+  @Test
+  void aTypeWithoutPartialAnswersSendsAllPartsUnderTrouble() {
+    host.start();
+    host.scan("a", "whole", 0.25, 0.25, 0.25, 0.25);
+    host.end(Outcome.FULL, "a0");
+    assertThat(sent(host.scan("q", "whole", 0.1, 0.4, 0.2, 0.3))).hasSize(4);
+  }
+
+  @Test
+  void aPartGoesToItsHomeUntilThatHoldsTooMuch() {
+    host.layout = new Settings.Layout(1, 3, 3, 1, 0);
+    host.start();
+    for (int i = 0; i < 5; i++) {
+      host.tell(new Event.ScanTaken("q" + i, 100 + i, "whole", "", (host.nowMs + 3000) * MS, false),
+          new Event.PartTaken("p" + i, 100 + i, 0, 1, "same key"));
+    }
+    assertThat(servers(host.all)).hasSize(5).containsOnly(servers(host.all).get(0));
+    List<Action> next = host.tell(
+        new Event.ScanTaken("z", 200, "whole", "", (host.nowMs + 3000) * MS, false),
+        new Event.PartTaken("pz", 200, 0, 1, "same key"));
+    assertThat(servers(next)).doesNotContain(servers(host.all).get(0));
+  }
+
+  // ---- rule 1: one final answer in time
+
+  @Test
+  void aScanWhosePartsNeverReturnIsAnsweredInPartAtTheTargetTime() {
+    host.start();
+    host.scan("q", "part", 0.4, 0.3, 0.2, 0.1);
+    host.end(Outcome.COMPLETED, "q0", "q1");
+    host.pass(980);
+    assertThat(host.verdicts()).isEmpty();
+    host.pass(20);
+    assertThat(host.verdicts()).containsExactly(new Action.Answer("q", false));
+    assertThat(sent(host.pass(5000))).isEmpty();
+  }
+
+  @Test
+  void aScanWithNothingInIsGivenUpBeforeTheClientLeaves() {
+    host.start();
+    host.scanWithin(2000, "q", "once", 1);
+    host.pass(1950);
+    assertThat(host.verdicts()).isEmpty();
+    host.pass(50);
+    assertThat(host.verdicts()).containsExactly(new Action.Abandon("q"));
+  }
+
+  @Test
+  void whatIsWorthNothingAfterItsTargetTimeIsGivenUpThereWithATimeToComeBack() {
+    host.start();
+    host.scan("q", "strict", 1);
+    host.pass(1010);
+    assertThat(host.verdicts()).containsExactly(new Action.Throttle("q", 500 * MS));
+  }
+
+  @Test
+  void aScanThatLapsedInTheSameBatchGetsNeitherAnswerNorDispatch() {
+    host.start();
+    host.scan("q", "whole", 0.5, 0.5);
+    assertThat(host.tell(new Event.DispatchEnded("q0", 0, Outcome.ERROR, MS, true, Map.of()),
+        new Event.ScanLapsed("q"))).noneMatch(a -> a instanceof Action.Send || a instanceof Action.Abandon);
+    assertThat(host.verdicts()).isEmpty();
+  }
+
+  @Test
+  void badInputGetsAPlainAnswerAtOnce() {
+    host.start();
+    host.scan("none", "whole");
+    host.scanWithin(2, "late", "whole", 0.5, 0.5);
+    host.tell(new Event.ScanTaken("odd", 50, "unheard of", "", (host.nowMs + 900) * MS, false),
+        new Event.PartTaken("odd0", 50, 99, 1, ""));
+    assertThat(host.verdicts()).hasSize(2).contains(new Action.Throttle("none", 500 * MS));
+    host.pass(900);
+    assertThat(host.verdicts()).hasSize(3);
+  }
+
+  @Test
+  void aListThatNamesNoHolderOfAShardGivesTheScanUpAtOnce() {
+    host.start();
+    host.list(ListKind.FULL, line("s2", 2, ServerStatus.IN_SERVICE, 0));
+    assertThat(host.scan("q", "whole", 0.5, 0.5)).contains(new Action.Throttle("q", 500 * MS));
+  }
+
+  @Test
+  void settingsOfZerosBreakNothing() {
+    host.layout = new Settings.Layout(0, 0, 0, 1, 0);
+    host.rules = new Settings.Rules(0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+    host.type("whole", Repeat.REPLAYABLE, 0, 0, 0);
+    host.start();
+    host.scan("q", "whole", 0.5, 0.5);
+    host.pass(3000);
+    assertThat(host.verdicts()).hasSize(1);
+  }
+
+  // ---- rule 2: no effect twice
+
+  @Test
+  void aNonReplayablePartIsNeverSentAgainOnceItMayHaveRun() {
+    host.start();
+    host.scan("q", "once", 1);
+    assertThat(sent(host.end(Outcome.BROKEN, "q0"))).isEmpty();
+    assertThat(host.verdicts()).containsExactly(new Action.Abandon("q"));
+  }
+
+  @Test
+  void aNonReplayablePartGoesOnWhenItsDispatchIsProvedNeverToHaveRun() {
+    host.start();
+    host.scan("q", "once", 1);
+    assertThat(sent(host.end(Outcome.UNREACHABLE, "q0"))).containsExactly("q0");
+  }
+
+  @Test
+  void aKeyedPartIsNotSentAgainPastItsWindow() {
+    host.types.computeIfPresent("keyed", (name, t) -> new TableType(
+        name, t.repeat(), 300 * MS, t.targetUs(), t.timeoutUs(), 1, 0.3, 1, 1, 0.9, 0));
+    host.start();
+    host.scan("q", "keyed", 1);
+    host.pass(300);
+    assertThat(sent(host.end(Outcome.BROKEN, "q0"))).isEmpty();
+    assertThat(host.verdicts()).containsExactly(new Action.Abandon("q"));
+  }
+
+  @Test
+  void whereSecondCopiesAreOffAPartHasOneDispatchOut() {
+    host.limits = new Settings.Limits(4, false, true, false, true, 0, 100, false);
+    host.start();
+    host.scan("q", "whole", 1);
+    assertThat(sent(host.pass(900))).isEmpty();
+  }
+
+  @Test
+  void whereSecondCopiesAreOffAnOverduePartIsCalledBackFromASickServerAndSentOn() {
+    host.limits = new Settings.Limits(4, false, true, false, true, 0, 100, false);
+    host.layout = new Settings.Layout(4, 4, 4, 1, 0);
+    host.start();
+    String sick = servers(host.scan("q", "whole", 1)).get(0);
+    for (int i = 0; !servers(host.all).subList(1, i + 1).contains(sick); i++) {
+      host.scan("r" + i, "whole", 1);
+    }
+    for (String part : List.copyOf(host.tries.keySet())) {
+      if (!servers(host.all).get(sent(host.all).indexOf(part)).equals(sick)) {
+        host.end(Outcome.COMPLETED, part);
+      }
+    }
+    List<Action> later = host.pass(700);
+    assertThat(later).contains(new Action.Cancel("q0", 0));
+    assertThat(sent(later)).doesNotContain("q0");
+    assertThat(servers(host.end(Outcome.CANCELLED, "q0"))).hasSize(1).doesNotContain(sick);
+  }
+
+  // ---- rule 3: drains and the list
+
+  @Test
+  void nothingGoesToADrainingServer() {
+    host.start();
+    host.list(ListKind.CHANGES, line("s0", 0, ServerStatus.DRAINING, 0), line("s1", 1, ServerStatus.GONE, 0));
+    for (int i = 0; i < 8; i++) {
+      assertThat(servers(host.scan("q" + i, "whole", 0.25, 0.25, 0.25, 0.25))).doesNotContain("s0", "s1");
+    }
+  }
+
+  @Test
+  void aListThatMustBeAskedForIsFollowedAndAskedForAgainWhenTheCallFails() {
+    host.limits = new Settings.Limits(4, true, true, false, true, 0, 100, true);
+    host.start();
+    assertThat(host.all).contains(new Action.Follow(true));
+    host.list(ListKind.LOST);
+    assertThat(host.pass(1000)).containsOnlyOnce(new Action.Follow(true));
+    host.list(ListKind.FULL, line("s0", 0, ServerStatus.IN_SERVICE, 0));
+    assertThat(host.pass(60_000)).doesNotContain(new Action.Follow(true));
+  }
+
+  // ---- rule 4: cold servers
+
+  @Test
+  void aColdServerGetsOnlyItsShareOverAnyWindow() {
+    host.layout = new Settings.Layout(1, 2, 2, 1, 0);
+    host.start();
+    host.nowMs = 20_000;
+    host.list(ListKind.CHANGES, line("s0", 0, ServerStatus.IN_SERVICE, 20_000));
+    for (int i = 0; i < 40; i++) {
+      host.scan("q" + i, "whole", 1);
+    }
+    // 0.2 of one core, twice over for a second, two gatherers: 0.2 s of work, two parts of a tenth of the target time.
+    assertThat(servers(host.all)).filteredOn("s0"::equals).hasSizeBetween(1, 2);
+    host.pass(15_000);
+    int before = servers(host.all).size();
+    for (int i = 0; i < 40; i++) {
+      host.scan("w" + i, "whole", 1);
+    }
+    assertThat(servers(host.all).subList(before, servers(host.all).size())).filteredOn("s0"::equals).hasSizeGreaterThan(5);
+  }
+
+  // ---- rule 5: honest answers
+
+  @Test
+  void noAnswerIsGivenFromUnderTheFloor() {
+    host.start();
+    host.scan("q", "part", 0.4, 0.3, 0.2, 0.1);
+    host.end(Outcome.COMPLETED, "q0");
+    host.pass(3000);
+    assertThat(host.verdicts()).containsExactly(new Action.Throttle("q", 500 * MS));
+  }
+
+  @Test
+  void aSecondStepIsWholeOnlyIfTheFirstWas() {
+    host.start();
+    host.scan("q", "steps", 0.4, 0.3, 0.2, 0.1);
+    host.end(Outcome.COMPLETED, "q0", "q1");
+    host.pass(800);
+    assertThat(host.verdicts()).containsExactly(new Action.Answer("q", false));
+    assertThat(sent(host.secondStep("q", 1, 0, 1))).containsExactly("qx0", "qx1");
+    host.end(Outcome.COMPLETED, "qx0", "qx1");
+    assertThat(host.verdicts()).containsExactly(new Action.Answer("q", false), new Action.Answer("q", false));
+  }
+
+  // ---- rule 6: the budget of further dispatches
+
+  @Test
+  void furtherDispatchesStayWithinAStatedBudget() {
+    host.rules = new Settings.Rules(20 * MS, 10_000 * MS, 0, 0.2, 0, 2, 0, 1, 0, 10_000 * MS);
+    host.start();
+    host.scan("q", "whole", 0.5, 0.5);
+    assertThat(sent(host.end(Outcome.ERROR, "q0", "q1"))).hasSize(1);
+    assertThat(sent(host.pass(500))).isEmpty();
+  }
+
+  // ---- failures met
+
+  @Test
+  void anOverduePartGetsASecondCopyElsewhere() {
+    host.start();
+    List<Action> first = host.scan("q", "whole", 1);
+    List<Action> later = host.pass(700);
+    assertThat(sent(later)).containsExactly("q0");
+    assertThat(servers(later)).doesNotContainAnyElementsOf(servers(first));
+  }
+
+  @Test
+  void aServerThatAnswersAtOnceWithErrorsDrawsNoMoreFirstDispatches() {
+    host.start();
+    host.scan("a", "whole", 1);
+    String bad = servers(host.all).get(0);
+    host.end(Outcome.ERROR, "a0");
+    for (int i = 0; i < 30; i++) {
+      int before = host.all.size();
+      host.scan("b" + i, "whole", 1);
+      boolean struck = servers(host.all.subList(before, host.all.size())).contains(bad);
+      host.end(struck ? Outcome.ERROR : Outcome.COMPLETED, "b" + i + 0);
+    }
+    assertThat(servers(host.all)).filteredOn(bad::equals).hasSizeLessThanOrEqualTo(3);
+  }
+
+  @Test
+  void underOverloadThereAreNoFurtherDispatches() {
+    host.start();
+    host.scan("q", "whole", 0.25, 0.25, 0.25, 0.25);
+    assertThat(sent(host.end(Outcome.FULL, "q0", "q1", "q2", "q3"))).isEmpty();
+    assertThat(sent(host.pass(500))).isEmpty();
+  }
+
+  @Test
+  void underOverloadWhatIsBeyondACustomersShareIsTurnedAway() {
+    host.allowances.put("anyone", 0.1);
+    host.start();
+    host.scan("q", "whole", 0.25, 0.25, 0.25, 0.25);
+    host.end(Outcome.FULL, "q0", "q1", "q2", "q3");
+    assertThat(host.scan("r", "whole", 0.5, 0.5)).contains(new Action.Throttle("r", 500 * MS));
+  }
+}
--- /dev/null
+++ b/src/test/java/tidebank/FakeHost.java
@@ -0,0 +1,145 @@
+package tidebank;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import tidebank.model.Action;
+import tidebank.model.Event;
+import tidebank.model.Event.Listed;
+import tidebank.model.Event.ListKind;
+import tidebank.model.Event.ServerStatus;
+import tidebank.model.Outcome;
+import tidebank.model.Repeat;
+import tidebank.model.Settings;
+import tidebank.model.TableType;
+
+/** One instance, a clock in milliseconds, timers that fire, and what the module asked for. */
+final class FakeHost {
+  static final long MS = 1000;
+
+  final Map<String, TableType> types = new LinkedHashMap<>();
+  final Map<String, Double> allowances = new LinkedHashMap<>();
+  final List<Action> all = new ArrayList<>();
+  final Map<String, Integer> tries = new LinkedHashMap<>();
+  Settings.Layout layout = new Settings.Layout(4, 4, 2, 1, 0);
+  Settings.Limits limits = new Settings.Limits(4, true, true, false, true, 500 * MS, 100, false);
+  Settings.Rules rules =
+      new Settings.Rules(20 * MS, 10_000 * MS, 1000 * MS, 0.2, 10_000 * MS, 2, 1000 * MS, 0, 0, 0);
+  long nowMs = 1000;
+  private Brain brain;
+  private long numbers;
+  private long timerAt = Long.MAX_VALUE;
+  private long token;
+  private final List<Event> told = new ArrayList<>();
+
+  FakeHost() {
+    type("whole", Repeat.REPLAYABLE, 1, 0.1, 0);
+    type("part", Repeat.REPLAYABLE, 0.5, 0.1, 0);
+    type("once", Repeat.NON_REPLAYABLE, 1, 0.3, 0);
+    type("keyed", Repeat.KEYED, 1, 0.3, 0);
+    type("strict", Repeat.REPLAYABLE, 1, 0, 0);
+    type("steps", Repeat.REPLAYABLE, 0.6, 0.3, 2);
+  }
+
+  /** Every type: target time 1 s, query timeout 3 s, repeats dropped for 2 s. */
+  void type(String name, Repeat repeat, double floor, double late, int second) {
+    types.put(name, new TableType(
+        name, repeat, 2000 * MS, 1000 * MS, 3000 * MS, 1, late, floor, 1, 0.9, second));
+  }
+
+  /** Starts the instance with a list of sound servers s0, s1, ... one at each position. */
+  FakeHost start() {
+    brain = new Brain(new Settings(2, 5 * MS, types, allowances, 0.1, layout, limits, rules), 7);
+    List<Listed> lines = new ArrayList<>();
+    for (int i = 0; i < layout.positions(); i++) {
+      lines.add(line("s" + i, i, ServerStatus.IN_SERVICE, 0));
+    }
+    list(ListKind.REMEMBERED, lines.toArray(new Listed[0]));
+    return this;
+  }
+
+  static Listed line(String server, int position, ServerStatus status, long startedMs) {
+    return new Listed(server, position, status, startedMs * MS, 1);
+  }
+
+  List<Action> list(ListKind kind, Listed... lines) {
+    return tell(new Event.ListSeen(kind, List.of(lines)));
+  }
+
+  /** A scan with a part a shard, of these weights; its parts are called id + shard. */
+  List<Action> scan(String id, String type, double... weights) {
+    return scanWithin(3000, id, type, weights);
+  }
+
+  List<Action> scanWithin(long leftMs, String id, String type, double... weights) {
+    long number = ++numbers;
+    told.add(new Event.ScanTaken(id, number, type, "anyone", (nowMs + leftMs) * MS, false));
+    for (int shard = 0; shard < weights.length; shard++) {
+      told.add(new Event.PartTaken(id + shard, number, shard, weights[shard], ""));
+    }
+    return tell();
+  }
+
+  List<Action> secondStep(String id, long number, int... shards) {
+    for (int shard : shards) {
+      told.add(new Event.PartTaken(id + "x" + shard, number, shard, 1.0 / shards.length, ""));
+    }
+    return tell();
+  }
+
+  /** Ends the latest dispatch of each of these parts. */
+  List<Action> end(Outcome outcome, String... parts) {
+    for (String part : parts) {
+      told.add(new Event.DispatchEnded(part, tries.get(part) - 1, outcome, 100 * MS, false, Map.of()));
+    }
+    return tell();
+  }
+
+  List<Action> end(String part, int dispatch, Outcome outcome) {
+    return tell(new Event.DispatchEnded(part, dispatch, outcome, 100 * MS, false, Map.of()));
+  }
+
+  List<Action> tell(Event... events) {
+    told.addAll(List.of(events));
+    List<Action> now = brain.on(nowMs * MS, List.copyOf(told));
+    told.clear();
+    for (Action action : now) {
+      if (action instanceof Action.Send send) {
+        tries.merge(send.part(), 1, Integer::sum);
+      } else if (action instanceof Action.SetTimer timer) {
+        timerAt = nowMs + (timer.waitUs() + MS - 1) / MS;
+        token = timer.token();
+      }
+    }
+    all.addAll(now);
+    return now;
+  }
+
+  /** Lets time pass; timers fire on their way. Returns what was asked for meanwhile. */
+  List<Action> pass(long ms) {
+    int from = all.size();
+    long until = nowMs + ms;
+    while (timerAt <= until) {
+      nowMs = Math.max(nowMs, timerAt);
+      timerAt = Long.MAX_VALUE;
+      tell(new Event.TimerDue(token));
+    }
+    nowMs = until;
+    return List.copyOf(all.subList(from, all.size()));
+  }
+
+  static List<String> sent(List<Action> actions) {
+    return actions.stream().filter(Action.Send.class::isInstance).map(a -> ((Action.Send) a).part()).toList();
+  }
+
+  static List<String> servers(List<Action> actions) {
+    return actions.stream().filter(Action.Send.class::isInstance).map(a -> ((Action.Send) a).server()).toList();
+  }
+
+  /** All final answers and steps so far, in order. */
+  List<Action> verdicts() {
+    return all.stream().filter(a -> a instanceof Action.Answer || a instanceof Action.Throttle
+        || a instanceof Action.Abandon).toList();
+  }
+}
