--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -80,6 +80,7 @@
   private double typical;
   /** T as a share of the parts: half at start and under overload, growing to all with answers in time. */
   private double boost = HALF;
+  private long boostAt = Long.MIN_VALUE / 2;
   private long calls;
   private long now;
   private long wakeAt;
@@ -318,7 +319,10 @@
       }
     }
     boolean overload = overload();
-    boost = overload ? HALF : boost;
+    if (overload && now - boostAt >= TROUBLE_US) {
+      boost = Math.min(HALF, boost * HALF);
+      boostAt = now;
+    }
     for (Scan scan : List.copyOf(scans.values())) {
       if (!scan.selected) {
         select(scan, overload);
