A client's new try keeps its first try's target time, and is dropped past it under overload

Guards against retries that can earn nothing piling on; harms only where a client's clock differs from its first try's.

--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -73,6 +73,8 @@
   private final List<Scan> decided = new ArrayList<>();
   private final List<Dispatch> live = new ArrayList<>();
   private final Map<String, double[]> buckets = new HashMap<>();
+  /** By table type, the shortest time that a client's first try has left. */
+  private final Map<String, Long> spans = new HashMap<>();
   private final Deque<Long> taken = new ArrayDeque<>();
   private final Deque<Long> further = new ArrayDeque<>();
   private final List<Action> actions = new ArrayList<>();
@@ -179,13 +181,23 @@
       type = new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 1, 0, 1, 1, 0, 0);
     }
     Scan scan = new Scan(event.id(), event.number(), type, event.account(), now, event.limitAt(), event.resent());
-    scan.targetAt = Math.min(now + type.targetUs(), scan.limitAt);
+    scan.targetAt = Math.min(firstAsked(scan) + type.targetUs(), scan.limitAt);
     scan.overShare = overShare(scan);
     scans.put(scan.id, scan);
     byNumber.put(scan.number, scan);
     taken.add(now);
   }
 
+  /** A client's new try counts from its first: one cut shorter than any fresh try ends with the query timeout. */
+  private long firstAsked(Scan scan) {
+    long left = scan.limitAt - now;
+    if (!scan.resent) {
+      spans.merge(scan.type.name(), left, Math::min);
+    }
+    boolean cut = scan.resent && left < spans.getOrDefault(scan.type.name(), 0L) - margin();
+    return cut ? scan.limitAt - scan.type.timeoutUs() : now;
+  }
+
   /** A customer's bucket fills at this gatherer's part of its allowance and holds a target time's worth. */
   private boolean overShare(Scan scan) {
     Double allowance = settings.allowances().get(scan.account);
@@ -370,7 +382,7 @@
       if (rank < top ? load > cap : load >= threshold) {
         part.stage = Stage.UNSENT;
       } else {
-        first(part);
+        first(part, overload);
       }
     }
   }
@@ -404,7 +416,7 @@
   /** First and further dispatches of a part that is still wanted. */
   private void pursue(Part part, boolean overload) {
     if (part.stage == Stage.HELD) {
-      first(part);
+      first(part, overload);
     } else if (part.stage == Stage.SENT && part.dispatches.stream().allMatch(d -> !d.out || d.overdue)) {
       if (!furtherEver(part)) {
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
@@ -421,8 +433,9 @@
     }
   }
 
-  private void first(Part part) {
-    if (holders(part.shard).isEmpty() || now >= part.scan.targetAt) {
+  private void first(Part part, boolean overload) {
+    boolean late = now >= part.scan.targetAt && (overload || part.scan.type.lateBenefit() <= 0);
+    if (holders(part.shard).isEmpty() || late) {
       part.stage = Stage.LOST;
       return;
     }
@@ -549,7 +562,8 @@
     // Where it could not be called back, a dispatch has to end by itself before the next may go.
     boolean one = !settings.limits().secondCopies() && !settings.limits().cancel() && furtherEver(part);
     boolean late = scan.type.lateBenefit() > 0 && scan.type.floor() >= scan.type.need();
-    dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt : late ? scan.limitAt : scan.targetAt;
+    dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt
+        : late || now >= scan.targetAt ? scan.limitAt : scan.targetAt;
     if (dispatch.number > 0) {
       further.add(now);
     }
