--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -38,6 +38,7 @@
   private static final double SPILL_LEAST = 1;
   private static final double SPILL_GAIN = 1.0 / 16;
   private static final double SLOW = 2;
+  private static final double CALL_MORE = 0.5;
   private static final double IDLE = 0.1;
   private static final double HALF = 0.5;
   private static final double BOOST_GAIN = 1.0 / 128;
@@ -517,12 +518,15 @@
     return best;
   }
 
-  /** Our own parts at a server, by call where parts share calls; an overdue one tells of a server that stands still. */
+  /**
+   * Our own parts at a server, by call where parts share calls. Exceptions: a further part of a call counts half, as it
+   * queues behind the first; an overdue part counts as a full home, as it tells of a server that stands still.
+   */
   private double held(ShardServer srv) {
     double held = 0;
     long last = -1;
     for (Dispatch dispatch : srv.out) {
-      held += dispatch.call != last ? 1 : 0;
+      held += dispatch.call != last ? 1 : CALL_MORE;
       held += dispatch.overdue ? SPILL_START : 0;
       last = dispatch.call;
     }
