Cold budget from the most that one server was seen to carry; module compacted

Now a warm server is taken to carry the most that one was seen to answer us within the fall time, at least one core.

--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -1,29 +1,12 @@
 package tidebank;
 
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
+import static java.nio.charset.UTF_8;
+
+import java.util.*;
 import java.util.zip.CRC32;
-import tidebank.model.Action;
-import tidebank.model.Dispatch;
-import tidebank.model.Event;
-import tidebank.model.Outcome;
-import tidebank.model.Part;
+import tidebank.model.*;
 import tidebank.model.Part.Stage;
-import tidebank.model.Repeat;
-import tidebank.model.Scan;
 import tidebank.model.Scan.Verdict;
-import tidebank.model.Settings;
-import tidebank.model.Shard;
-import tidebank.model.ShardServer;
-import tidebank.model.TableType;
 
 /**
  * All decisions of one gatherer. A front makes one Brain an instance and calls {@link #on} with the clock and all that
@@ -81,6 +64,8 @@
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
   private double typical;
+  /** The most parts that one server was seen to answer within the time that a cold one takes to fall. */
+  private double carried;
   /** T as a share of the parts: half at start and under overload, growing to all with answers in time. */
   private double boost = HALF;
   private long boostAt = Long.MIN_VALUE / 2;
@@ -125,7 +110,7 @@
       takeScan(taken);
     } else if (event instanceof Event.PartTaken taken) {
       Scan scan = byNumber.get(taken.number());
-      this.taken.add(now);
+      countTaken();
       if (scan != null && scan.verdict == Verdict.OPEN) {
         Part part = new Part(taken.id(), scan, taken.shard(), taken.weight(), taken.key(), scan.step);
         part.stage = Stage.HELD;
@@ -176,17 +161,15 @@
   }
 
   private void takeScan(Event.ScanTaken event) {
-    TableType type = settings.tableTypes().get(event.type());
-    if (type == null) {
-      long left = event.limitAt() - now;
-      type = new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 1, 0, 1, 1, 0, 0);
-    }
+    long left = event.limitAt() - now;
+    TableType type = settings.tableTypes().getOrDefault(event.type(),
+        new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 1, 0, 1, 1, 0, 0));
     Scan scan = new Scan(event.id(), event.number(), type, event.account(), now, event.limitAt(), event.resent());
     scan.targetAt = Math.min(firstAsked(scan) + type.targetUs(), scan.limitAt);
     scan.overShare = overShare(scan);
     scans.put(scan.id, scan);
     byNumber.put(scan.number, scan);
-    taken.add(now);
+    countTaken();
   }
 
   /** A client's new try counts from its first: one cut shorter than any fresh try ends with the query timeout. */
@@ -210,11 +193,9 @@
     double[] bucket = buckets.computeIfAbsent(scan.account, absent -> new double[] {most, now});
     bucket[0] = Math.min(most, bucket[0] + (now - bucket[1]) * perUs);
     bucket[1] = now;
-    if (bucket[0] < 1) {
-      return true;
-    }
-    bucket[0]--;
-    return false;
+    boolean over = bucket[0] < 1;
+    bucket[0] -= over ? 0 : 1;
+    return over;
   }
 
   private void takeEnd(Event.DispatchEnded ended) {
@@ -223,9 +204,7 @@
       return;
     }
     Dispatch dispatch = part.dispatches.get(ended.dispatch());
-    dispatch.out = false;
-    dispatch.outcome = ended.outcome();
-    dispatch.server.out.remove(dispatch);
+    dispatch.end(ended.outcome());
     live.remove(dispatch);
     judge(dispatch, ended.tookUs());
     boolean open = part.scan.verdict == Verdict.OPEN;
@@ -262,6 +241,11 @@
           typical += (tookUs - typical) * LEARN;
           boost = Math.min(1, boost + BOOST_GAIN);
           shard.capPerReplica += 1.0 / Math.max(1, holders(dispatch.part.shard).size());
+          if (now - srv.countFrom >= settings.rules().tipAfterUs()) {
+            srv.countFrom = now;
+            srv.counted = 0;
+          }
+          carried = Math.max(carried, ++srv.counted);
           srv.doubt = srv.sick ? DOUBT_BOUND * HALF : Math.max(0, srv.doubt + DOUBT_GOOD);
           srv.sick = false;
           srv.trialWait = 0;
@@ -310,27 +294,15 @@
   }
 
   private boolean overload() {
-    int listed = 0;
-    int strained = 0;
-    for (ShardServer srv : servers.values()) {
-      if (srv.inService) {
-        listed++;
-        if (!srv.down && now - srv.strainedAt < TROUBLE_US) {
-          strained++;
-        }
-      }
-    }
-    return strained > 0 && strained >= listed * OVERLOADED_SHARE;
+    List<ShardServer> listed = servers.values().stream().filter(srv -> srv.inService).toList();
+    long strained = listed.stream().filter(srv -> !srv.down && now - srv.strainedAt < TROUBLE_US).count();
+    return strained > 0 && strained >= listed.size() * OVERLOADED_SHARE;
   }
 
   // ---- what is wanted
 
   private void review() {
-    for (Dispatch dispatch : List.copyOf(live)) {
-      if (!dispatch.overdue && now >= dispatch.dueAt) {
-        overdue(dispatch);
-      }
-    }
+    live.stream().filter(d -> now >= d.dueAt).forEach(this::overdue);
     boolean overload = overload();
     if (overload && now - boostAt >= TROUBLE_US) {
       boost = Math.min(HALF, boost * HALF);
@@ -347,11 +319,7 @@
         conclude(scan);
       }
     }
-    for (Dispatch dispatch : live) {
-      if (!dispatch.overdue) {
-        wake(dispatch.dueAt);
-      }
-    }
+    live.stream().filter(d -> !d.overdue).forEach(d -> wake(d.dueAt));
   }
 
   /** The design: the ranked parts that pass their threshold go, the others stay unsent. */
@@ -455,31 +423,26 @@
     if (part.dispatches.size() >= most || now >= part.scan.targetAt) {
       return false;
     }
-    if (part.scan.type.repeat() == Repeat.REPLAYABLE || !part.mayHaveRun()) {
-      return true;
-    }
-    if (part.scan.type.repeat() == Repeat.NON_REPLAYABLE) {
-      return false;
-    }
-    for (Dispatch dispatch : part.dispatches) {
-      if (dispatch.out || !dispatch.outcome.neverRan) {
-        return now + settings.tickUs() < dispatch.sentAt + part.scan.type.windowUs();
-      }
+    if (part.scan.type.repeat() != Repeat.KEYED || !part.mayHaveRun()) {
+      return part.scan.type.repeat() == Repeat.REPLAYABLE || !part.mayHaveRun();
     }
-    return true;
+    long windowEnd = now + settings.tickUs() - part.scan.type.windowUs();
+    return part.dispatches.stream().filter(d -> d.out || !d.outcome.neverRan).allMatch(d -> d.sentAt > windowEnd);
+  }
+
+  private void countTaken() {
+    expire(taken, settings.rules().ratioSpanUs());
+    taken.add(now);
   }
 
   private boolean budgetLeft() {
     Settings.Rules rules = settings.rules();
-    if (rules.ratioSpanUs() <= 0) {
-      taken.clear();
-      return true;
-    }
     expire(taken, rules.ratioSpanUs());
     expire(further, rules.ratioSpanUs() + settings.tickUs());
-    return further.size() + 1 <= rules.freeResends() + rules.extraRatio() * taken.size();
+    return rules.ratioSpanUs() <= 0 || further.size() + 1 <= rules.freeResends() + rules.extraRatio() * taken.size();
   }
 
+  /** Times remembered for a rule are forgotten as they leave its window. */
   private void expire(Deque<Long> times, long spanUs) {
     while (!times.isEmpty() && times.peekFirst() <= now - spanUs) {
       times.removeFirst();
@@ -511,11 +474,7 @@
     if (pick.get(0) == home && held(home) <= home.spill) {
       return home;
     }
-    ShardServer best = pick.get(0);
-    for (ShardServer srv : pick) {
-      best = held(srv) < held(best) ? srv : best;
-    }
-    return best;
+    return pick.stream().min(Comparator.comparingDouble(this::held)).orElseThrow();
   }
 
   /**
@@ -534,8 +493,9 @@
   }
 
   /**
-   * Rule 4. A cold server's capacity is taken as one core's, rising evenly; a gatherer's share of the budget is one
-   * part of as many as there are gatherers, over any window, and stretches the window where it is under one part.
+   * Rule 4. A warm server is taken to carry what one core can, or the most that one was seen to answer us in a window;
+   * a cold one the cold share of that, rising evenly. Ours is one part of as many as there are gatherers, over any
+   * window, and the window stretches where that is under one part.
    */
   private boolean coldRoom(ShardServer srv) {
     Settings.Rules rules = settings.rules();
@@ -546,8 +506,8 @@
     }
     double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
     double unit = Math.max(typical, shortestTarget * TYPICAL_START) + settings.layout().callUs();
-    double budget = Math.max(SUM_SLACK,
-        capacity * rules.fallMultiple() * rules.tipAfterUs() / (unit * settings.instances()));
+    double warm = Math.max(carried, rules.tipAfterUs() / unit);
+    double budget = Math.max(SUM_SLACK, capacity * rules.fallMultiple() * warm / settings.instances());
     expire(srv.coldSends, Math.round(rules.tipAfterUs() / Math.min(1, budget)));
     return srv.coldSends.size() + 1 <= Math.max(1, budget);
   }
@@ -569,6 +529,7 @@
     dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt
         : late || now >= scan.targetAt ? scan.limitAt : scan.targetAt;
     if (dispatch.number > 0) {
+      expire(further, settings.rules().ratioSpanUs());
       further.add(now);
     }
     srv.coldSends.add(now);
@@ -634,9 +595,7 @@
     for (Dispatch dispatch : List.copyOf(part.dispatches)) {
       dispatch.wanted = false;
       if (!dispatch.sent && dispatch.out) {
-        dispatch.out = false;
-        dispatch.outcome = Outcome.NEVER_SENT;
-        dispatch.server.out.remove(dispatch);
+        dispatch.end(Outcome.NEVER_SENT);
         live.remove(dispatch);
         part.dispatches.remove(dispatch);
       }
@@ -713,7 +672,7 @@
 
   private static long hash(String text) {
     CRC32 crc = new CRC32();
-    crc.update(text.getBytes(StandardCharsets.UTF_8));
+    crc.update(text.getBytes(UTF_8));
     return crc.getValue();
   }
 
--- a/src/main/java/tidebank/model/Dispatch.java
+++ b/src/main/java/tidebank/model/Dispatch.java
@@ -24,4 +24,11 @@
     this.sentAt = sentAt;
     this.call = call;
   }
+
+  /** It has come to its one end. */
+  public void end(Outcome how) {
+    out = false;
+    outcome = how;
+    server.out.remove(this);
+  }
 }
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -18,6 +18,9 @@
   public final List<Dispatch> out = new ArrayList<>();
   /** When parts were sent while the server counted as cold. */
   public final Deque<Long> coldSends = new ArrayDeque<>();
+  /** Parts answered since a moment. */
+  public long countFrom;
+  public int counted;
   /** Log-likelihood ratio of the sequential test; above its bound the server is held to be sick. */
   public double doubt;
 
