--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -1,6 +1,6 @@
 package tidebank;
 
-import static java.nio.charset.UTF_8;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.util.*;
 import java.util.zip.CRC32;
