--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -29,6 +29,8 @@
   // Shares of a target time: how long a dispatch may take at the least and at the most before it is overdue.
   private static final double PATIENCE_LEAST = 0.33;
   private static final double PATIENCE_MOST = 0.6;
+  /** What a second step needs of the target time. */
+  private static final double STEP_RESERVE = 0.35;
   private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
   private static final double LEARN = 1.0 / 32;
@@ -40,7 +42,7 @@
   private static final double DOUBT_GOOD = Math.log((1 - BAD_SICK) / (1 - BAD_SOUND));
   private static final double DOUBT_BOUND = Math.log((1 - TEST_ERROR) / TEST_ERROR);
   private static final int TRIAL_DOUBLINGS = 3;
-  private static final double OVERLOADED_SHARE = 1.0 / 3;
+  private static final double OVERLOADED_SHARE = 1.0 / 4;
   private static final int FURTHER_MOST = 2;
   private static final int MARGIN_TICKS = 3;
   private static final double SUM_SLACK = 0.00005;
@@ -562,7 +564,7 @@
     double floor = type.floor() < type.need() ? type.floor() : first ? type.need() : 1;
     boolean whole = first ? in >= type.need() - SUM_SLACK : all && scan.firstWhole;
     boolean enough = in >= floor - SUM_SLACK;
-    long answerAt = scan.targetAt - (moreSteps(scan) ? patience(scan) : margin());
+    long answerAt = scan.targetAt - (moreSteps(scan) ? Math.round(type.targetUs() * STEP_RESERVE) : margin());
     long endAt = scan.limitAt - margin();
     if (none && now < endAt) {
       wake(endAt);
