--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -24,7 +24,7 @@
   private static final double CALL_MORE = 0.5;
   private static final double IDLE = 0.1;
   private static final double HALF = 0.5;
-  private static final double BOOST_GAIN = 1.0 / 128;
+  private static final double BOOST_GAIN = 1.0 / 384;
   private static final long TROUBLE_US = 1_000_000;
   // Shares of a target time: how long a dispatch may take at the least and at the most before it is overdue.
   private static final double PATIENCE_LEAST = 0.33;
@@ -393,7 +393,8 @@
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
       } else if (!overload && budgetLeft()) {
         ShardServer srv = place(part);
-        if (srv != null && (part.out() == 0 || settings.limits().secondCopies())) {
+        boolean sick = part.dispatches.stream().allMatch(d -> !d.out || d.server.sick);
+        if (srv != null && (part.out() == 0 || settings.limits().secondCopies() && sick)) {
           send(part, srv);
         } else if (srv != null && !srv.sick) {
           // One dispatch out at a time: it is called back from a sick server first, and sent on when it has ended.
@@ -527,7 +528,7 @@
     part.dispatches.add(dispatch);
     // Where it could not be called back, a dispatch has to end by itself before the next may go.
     boolean one = !settings.limits().secondCopies() && !settings.limits().cancel() && furtherEver(part);
-    boolean late = scan.type.lateBenefit() > 0 && scan.type.floor() >= scan.type.need();
+    boolean late = scan.type.lateBenefit() > 0;
     dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt
         : late || now >= scan.targetAt ? scan.limitAt : scan.targetAt;
     if (dispatch.number > 0) {
