--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -24,7 +24,7 @@
   private static final double CALL_MORE = 0.5;
   private static final double IDLE = 0.1;
   private static final double HALF = 0.5;
-  private static final double BOOST_GAIN = 1.0 / 384;
+  private static final double BOOST_GAIN = 1.0 / 128;
   private static final long TROUBLE_US = 1_000_000;
   // Shares of a target time: how long a dispatch may take at the least and at the most before it is overdue.
   private static final double PATIENCE_LEAST = 0.33;
