Copies off sick servers, or off any where a part is out for 1.4 patience; one server alone is not overload

The second condition covers a gatherer with little traffic, whose test hears too little of a hung server.

--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -31,6 +31,7 @@
   private static final double PATIENCE_MOST = 0.6;
   /** What a second step needs of the target time. */
   private static final double STEP_RESERVE = 0.35;
+  private static final double OUT_LONG = 1.4;
   private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
   private static final double LEARN = 1.0 / 32;
@@ -298,7 +299,8 @@
   private boolean overload() {
     List<ShardServer> listed = servers.values().stream().filter(srv -> srv.inService).toList();
     long strained = listed.stream().filter(srv -> !srv.down && now - srv.strainedAt < TROUBLE_US).count();
-    return strained > 0 && strained >= listed.size() * OVERLOADED_SHARE;
+    // One server alone is never the fleet, unless there is only one.
+    return strained >= Math.max(Math.min(2, listed.size()), listed.size() * OVERLOADED_SHARE) && strained > 0;
   }
 
   // ---- what is wanted
@@ -393,7 +395,9 @@
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
       } else if (!overload && budgetLeft()) {
         ShardServer srv = place(part);
-        boolean sick = part.dispatches.stream().allMatch(d -> !d.out || d.server.sick);
+        // A copy is worth its work only off a sick server, or where a part has been out for much longer than is usual.
+        long longAgo = now - Math.round(patience(part.scan) * OUT_LONG);
+        boolean sick = part.dispatches.stream().allMatch(d -> !d.out || d.server.sick || d.sentAt <= longAgo);
         if (srv != null && (part.out() == 0 || settings.limits().secondCopies() && sick)) {
           send(part, srv);
         } else if (srv != null && !srv.sick) {
