--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -9,10 +9,11 @@
 import tidebank.model.Scan.Verdict;
 
 /**
- * All decisions of one gatherer. A front makes one Brain an instance and calls {@link #on} with the clock and all that
- * happened to the instance since the last call; the answer is what to do now, in order. The interface is the package
- * {@code tidebank.model}: Settings, Event and Action in and out, the rest the state kept here. Events change the state,
- * {@link #review} settles what is wanted (dispatches, verdicts, wake-ups), {@link #settle} alone emits the difference.
+ * All decisions of one gatherer. A front makes one Brain an instance and calls {@link #on} with the clock and
+ * all that happened to the instance since the last call; the answer is what to do now, in order. The
+ * interface is the package {@code tidebank.model}: Settings, Event and Action in and out, the rest the state
+ * kept here. Events change the state, {@link #review} settles what is wanted (dispatches, verdicts,
+ * wake-ups), {@link #settle} alone emits the difference.
  */
 public final class Brain {
   // The design's figures.
@@ -53,6 +54,8 @@
   private long chances;
   private final Map<String, ShardServer> servers = new TreeMap<>();
   private final Map<Integer, List<ShardServer>> byPosition = new HashMap<>();
+  /** Found once a shard and list, as every part asks several times. */
+  private final Map<Integer, List<ShardServer>> byShard = new HashMap<>();
   private final Map<Integer, Shard> shards = new HashMap<>();
   private final Map<String, Scan> scans = new LinkedHashMap<>();
   private final Map<Long, Scan> byNumber = new HashMap<>();
@@ -113,7 +116,7 @@
       takeScan(taken);
     } else if (event instanceof Event.PartTaken taken) {
       Scan scan = byNumber.get(taken.number());
-      countTaken();
+      remember(this.taken, settings.rules().ratioSpanUs());
       if (scan != null && scan.verdict == Verdict.OPEN) {
         Part part = new Part(taken.id(), scan, taken.shard(), taken.weight(), taken.key(), scan.step);
         part.stage = Stage.HELD;
@@ -156,6 +159,7 @@
       }
     }
     byPosition.clear();
+    byShard.clear();
     for (ShardServer srv : servers.values()) {
       if (srv.inService) {
         byPosition.computeIfAbsent(srv.position, absent -> new ArrayList<>()).add(srv);
@@ -166,16 +170,18 @@
   private void takeScan(Event.ScanTaken event) {
     long left = event.limitAt() - now;
     TableType type = settings.tableTypes().getOrDefault(event.type(),
-        new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 1, 0, 1, 1, 0, 0));
-    Scan scan = new Scan(event.id(), event.number(), type, event.account(), now, event.limitAt(), event.resent());
+        new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 0, 1, 1, 0));
+    Scan scan = new Scan(event.id(), event.number(), type, event.account(), event.limitAt(), event.resent());
     scan.targetAt = Math.min(firstAsked(scan) + type.targetUs(), scan.limitAt);
     scan.overShare = overShare(scan);
     scans.put(scan.id, scan);
     byNumber.put(scan.number, scan);
-    countTaken();
+    remember(taken, settings.rules().ratioSpanUs());
   }
 
-  /** A client's new try counts from its first: one cut shorter than any fresh try ends with the query timeout. */
+  /**
+   * A client's new try counts from its first: one cut shorter than any fresh try ends with the query timeout.
+   */
   private long firstAsked(Scan scan) {
     long left = scan.limitAt - now;
     if (!scan.resent) {
@@ -185,7 +191,7 @@
     return cut ? scan.limitAt - scan.type.timeoutUs() : now;
   }
 
-  /** A customer's bucket fills at this gatherer's part of its allowance and holds a target time's worth. */
+  /** A customer's bucket fills at this gatherer's part of its allowance and holds two target times' worth. */
   private boolean overShare(Scan scan) {
     Double allowance = settings.allowances().get(scan.account);
     if (allowance == null) {
@@ -203,7 +209,8 @@
 
   private void takeEnd(Event.DispatchEnded ended) {
     Part part = parts.get(ended.part());
-    if (part == null || ended.dispatch() >= part.dispatches.size() || !part.dispatches.get(ended.dispatch()).out) {
+    if (part == null || ended.dispatch() >= part.dispatches.size()
+        || !part.dispatches.get(ended.dispatch()).out) {
       return;
     }
     Dispatch dispatch = part.dispatches.get(ended.dispatch());
@@ -233,7 +240,8 @@
     Shard shard = shard(dispatch.part.shard);
     // The overflow figure of a home starts at the page's and follows how its answers come.
     boolean quick = dispatch.outcome == Outcome.COMPLETED && tookUs <= SLOW * typical;
-    srv.spill = quick ? Math.min(SPILL_START, srv.spill + SPILL_GAIN) : Math.max(SPILL_LEAST, srv.spill * HALF);
+    srv.spill = quick
+        ? Math.min(SPILL_START, srv.spill + SPILL_GAIN) : Math.max(SPILL_LEAST, srv.spill * HALF);
     switch (dispatch.outcome) {
       case COMPLETED -> {
         if (srv.down) {
@@ -283,7 +291,7 @@
   }
 
   private void halve(Shard shard) {
-    shard.capPerReplica = shard.capPerReplica * HALF;
+    shard.capPerReplica *= HALF;
     shard.troubledAt = now;
   }
 
@@ -291,7 +299,8 @@
     srv.doubt = Math.min(DOUBT_BOUND, srv.doubt + evidence);
     if (srv.doubt >= DOUBT_BOUND) {
       srv.sick = true;
-      srv.trialWait = Math.min(Math.max(2 * srv.trialWait, shortestTarget / 2), shortestTarget << TRIAL_DOUBLINGS);
+      long most = shortestTarget << TRIAL_DOUBLINGS;
+      srv.trialWait = Math.min(Math.max(2 * srv.trialWait, shortestTarget / 2), most);
       srv.trialAt = now + srv.trialWait;
     }
   }
@@ -378,6 +387,10 @@
   }
 
   private List<ShardServer> holders(int shard) {
+    return byShard.computeIfAbsent(shard, this::findHolders);
+  }
+
+  private List<ShardServer> findHolders(int shard) {
     List<ShardServer> holders = new ArrayList<>();
     Settings.Layout layout = settings.layout();
     for (int j = 0; j < layout.width() && j < layout.positions(); j++) {
@@ -395,13 +408,15 @@
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
       } else if (!overload && budgetLeft()) {
         ShardServer srv = place(part);
-        // A copy is worth its work only off a sick server, or where a part has been out for much longer than is usual.
+        // A copy is worth its work only off a sick server, or where a part has been out for much longer than
+        // is usual.
         long longAgo = now - Math.round(patience(part.scan) * OUT_LONG);
         boolean sick = part.dispatches.stream().allMatch(d -> !d.out || d.server.sick || d.sentAt <= longAgo);
         if (srv != null && (part.out() == 0 || settings.limits().secondCopies() && sick)) {
           send(part, srv);
         } else if (srv != null && !srv.sick) {
-          // One dispatch out at a time: it is called back from a sick server first, and sent on when it has ended.
+          // One dispatch out at a time: it is called back from a sick server first, and sent on when it has
+          // ended.
           part.dispatches.forEach(d -> d.wanted &= !d.server.sick);
         }
       }
@@ -434,19 +449,26 @@
       return part.scan.type.repeat() == Repeat.REPLAYABLE || !part.mayHaveRun();
     }
     long windowEnd = now + settings.tickUs() - part.scan.type.windowUs();
-    return part.dispatches.stream().filter(d -> d.out || !d.outcome.neverRan).allMatch(d -> d.sentAt > windowEnd);
+    return part.dispatches.stream().filter(d -> d.out || !d.outcome.neverRan)
+        .allMatch(d -> d.sentAt > windowEnd);
+  }
+
+  private void remember(Deque<Long> times, long spanUs) {
+    expire(times, spanUs);
+    times.add(now);
   }
 
-  private void countTaken() {
-    expire(taken, settings.rules().ratioSpanUs());
-    taken.add(now);
+  /** A tick longer than the rule's span, to stay on its safe side. */
+  private long furtherSpan() {
+    return settings.rules().ratioSpanUs() + settings.tickUs();
   }
 
   private boolean budgetLeft() {
     Settings.Rules rules = settings.rules();
     expire(taken, rules.ratioSpanUs());
-    expire(further, rules.ratioSpanUs() + settings.tickUs());
-    return rules.ratioSpanUs() <= 0 || further.size() + 1 <= rules.freeResends() + rules.extraRatio() * taken.size();
+    expire(further, furtherSpan());
+    return rules.ratioSpanUs() <= 0
+        || further.size() + 1 <= rules.freeResends() + rules.extraRatio() * taken.size();
   }
 
   /** Times remembered for a rule are forgotten as they leave its window. */
@@ -485,8 +507,9 @@
   }
 
   /**
-   * Our own parts at a server, by call where parts share calls. Exceptions: a further part of a call counts half, as it
-   * queues behind the first; an overdue part counts as a full home, as it tells of a server that stands still.
+   * Our own parts at a server, by call where parts share calls. Exceptions: a further part of a call counts
+   * half, as it queues behind the first; an overdue part counts as a full home, as it tells of a server that
+   * stands still.
    */
   private double held(ShardServer srv) {
     double held = 0;
@@ -500,9 +523,9 @@
   }
 
   /**
-   * Rule 4. A warm server is taken to carry what one core can, or the most that one was seen to answer us in a window;
-   * a cold one the cold share of that, rising evenly. Ours is one part of as many as there are gatherers, over any
-   * window, and the window stretches where that is under one part.
+   * Rule 4. A warm server is taken to carry what one core can, or the most that one was seen to answer us in
+   * a window; a cold one the cold share of that, rising evenly. Ours is one part of as many as there are
+   * gatherers, over any window, and the window stretches where that is under one part.
    */
   private boolean coldRoom(ShardServer srv) {
     Settings.Rules rules = settings.rules();
@@ -536,8 +559,7 @@
     dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt
         : late || now >= scan.targetAt ? scan.limitAt : scan.targetAt;
     if (dispatch.number > 0) {
-      expire(further, settings.rules().ratioSpanUs());
-      further.add(now);
+      remember(further, furtherSpan());
     }
     srv.coldSends.add(now);
     srv.out.add(dispatch);
@@ -577,7 +599,8 @@
       close(scan, Verdict.ANSWER_WHOLE);
     } else if (enough && (pending <= 0 || all || now >= answerAt || now >= endAt)) {
       close(scan, Verdict.ANSWER_IN_PART);
-    } else if (in + pending < floor - SUM_SLACK || now >= endAt || type.lateBenefit() <= 0 && now >= scan.targetAt) {
+    } else if (in + pending < floor - SUM_SLACK || now >= endAt
+        || type.lateBenefit() <= 0 && now >= scan.targetAt) {
       giveUp(scan);
     } else {
       wake(now < answerAt ? answerAt : now < scan.targetAt ? scan.targetAt : endAt);
@@ -587,7 +610,8 @@
 
   /** A throttling reply says that trying again is harmless. */
   private void giveUp(Scan scan) {
-    boolean harmless = scan.type.repeat() == Repeat.REPLAYABLE || scan.parts.stream().noneMatch(Part::mayHaveRun);
+    boolean harmless = scan.type.repeat() == Repeat.REPLAYABLE
+        || scan.parts.stream().noneMatch(Part::mayHaveRun);
     close(scan, harmless ? Verdict.THROTTLE : Verdict.ABANDON);
   }
 
@@ -639,7 +663,7 @@
         actions.add(new Action.Cancel(dispatch.part.id, dispatch.number));
       }
     }
-    if (wakeAt < Long.MAX_VALUE && wakeAt < armedAt) {
+    if (wakeAt < armedAt) {
       armedAt = Math.max(wakeAt, now + settings.tickUs());
       actions.add(new Action.SetTimer(armedAt - now, ++timers));
     }
--- a/src/main/java/tidebank/model/Scan.java
+++ b/src/main/java/tidebank/model/Scan.java
@@ -19,7 +19,6 @@
   public final long number;
   public final TableType type;
   public final String account;
-  public final long takenAt;
   public final long limitAt;
   public final boolean resent;
   public final List<Part> parts = new ArrayList<>();
@@ -30,12 +29,11 @@
   public boolean overShare;
   public Verdict verdict = Verdict.OPEN;
 
-  public Scan(String id, long number, TableType type, String account, long takenAt, long limitAt, boolean resent) {
+  public Scan(String id, long number, TableType type, String account, long limitAt, boolean resent) {
     this.id = id;
     this.number = number;
     this.type = type;
     this.account = account;
-    this.takenAt = takenAt;
     this.limitAt = limitAt;
     this.resent = resent;
   }
--- a/src/main/java/tidebank/model/TableType.java
+++ b/src/main/java/tidebank/model/TableType.java
@@ -2,8 +2,7 @@
 
 /**
  * One row of the table of table types. Shares are of weight; {@code need} makes a whole answer, {@code floor} is the
- * least that any answer needs, {@code partialBenefit} is what an answer in part earns beside its share, and
- * {@code secondStep} counts the parts that a first answer brings on.
+ * least that any answer needs, and {@code secondStep} counts the parts that a first answer brings on.
  */
 public record TableType(
     String name,
@@ -11,9 +10,7 @@
     long windowUs,
     long targetUs,
     long timeoutUs,
-    double benefit,
     double lateBenefit,
     double floor,
     double need,
-    double partialBenefit,
     int secondStep) {}
--- a/src/main/java/tidebank/sim/SettingsCodec.java
+++ b/src/main/java/tidebank/sim/SettingsCodec.java
@@ -72,11 +72,9 @@
         Json.micros(service, "windowMs", 0),
         Json.micros(service, "onTimeMs", Json.number(service, "deadlineMs", 0)),
         Json.micros(service, "deadlineMs", 0),
-        Json.number(service, "worth", 1),
         Json.number(service, "lateWorth", 0),
         perRow(layout, "floorByClass", row, 1),
         perRow(layout, "classNeed", row, 1),
-        perRow(layout, "incompleteWorth", row, 0),
         (int) perRow(layout, "secondStep", row, 0));
   }
 
--- a/src/test/java/tidebank/BrainTest.java
+++ b/src/test/java/tidebank/BrainTest.java
@@ -23,6 +23,13 @@
 class BrainTest {
   private final FakeHost host = new FakeHost();
 
+  /** Starts with a scan of four parts, of which these are refused as full. */
+  private List<Action> refuse(String... parts) {
+    host.start();
+    host.scan("a", "whole", 0.25, 0.25, 0.25, 0.25);
+    return host.end(Outcome.FULL, parts);
+  }
+
   // ---- the design's ordinary path
 
   @Test
@@ -35,9 +42,7 @@
 
   @Test
   void afterARefusalLightPartsStayUnsentAndTheAnswerIsPartial() {
-    host.start();
-    host.scan("a", "whole", 0.25, 0.25, 0.25, 0.25);
-    host.end(Outcome.FULL, "a0");
+    refuse("a0");
     assertThat(sent(host.scan("q", "part", 0.1, 0.4, 0.2, 0.3))).containsExactly("q1", "q3", "q2");
     host.end(Outcome.COMPLETED, "q1", "q3", "q2");
     assertThat(host.verdicts()).containsExactly(new Action.Answer("q", false));
@@ -45,9 +50,7 @@
 
   @Test
   void aTypeWithoutPartialAnswersSendsAllPartsUnderTrouble() {
-    host.start();
-    host.scan("a", "whole", 0.25, 0.25, 0.25, 0.25);
-    host.end(Outcome.FULL, "a0");
+    refuse("a0");
     assertThat(sent(host.scan("q", "whole", 0.1, 0.4, 0.2, 0.3))).hasSize(4);
   }
 
@@ -157,7 +160,7 @@
   @Test
   void aKeyedPartIsNotSentAgainPastItsWindow() {
     host.types.computeIfPresent("keyed", (name, t) -> new TableType(
-        name, t.repeat(), 300 * MS, t.targetUs(), t.timeoutUs(), 1, 0.3, 1, 1, 0.9, 0));
+        name, t.repeat(), 300 * MS, t.targetUs(), t.timeoutUs(), 0.3, 1, 1, 0));
     host.start();
     host.scan("q", "keyed", 1);
     host.pass(300);
@@ -336,18 +339,14 @@
 
   @Test
   void underOverloadThereAreNoFurtherDispatches() {
-    host.start();
-    host.scan("q", "whole", 0.25, 0.25, 0.25, 0.25);
-    assertThat(sent(host.end(Outcome.FULL, "q0", "q1", "q2", "q3"))).isEmpty();
+    assertThat(sent(refuse("a0", "a1", "a2", "a3"))).isEmpty();
     assertThat(sent(host.pass(500))).isEmpty();
   }
 
   @Test
   void underOverloadWhatIsBeyondACustomersShareIsTurnedAway() {
     host.allowances.put("anyone", 0.1);
-    host.start();
-    host.scan("q", "whole", 0.25, 0.25, 0.25, 0.25);
-    host.end(Outcome.FULL, "q0", "q1", "q2", "q3");
+    refuse("a0", "a1", "a2", "a3");
     assertThat(host.scan("r", "whole", 0.5, 0.5)).contains(new Action.Throttle("r", 500 * MS));
   }
 }
--- a/src/test/java/tidebank/FakeHost.java
+++ b/src/test/java/tidebank/FakeHost.java
@@ -45,7 +45,7 @@
   /** Every type: target time 1 s, query timeout 3 s, repeats dropped for 2 s. */
   void type(String name, Repeat repeat, double floor, double late, int second) {
     types.put(name, new TableType(
-        name, repeat, 2000 * MS, 1000 * MS, 3000 * MS, 1, late, floor, 1, 0.9, second));
+        name, repeat, 2000 * MS, 1000 * MS, 3000 * MS, late, floor, 1, second));
   }
 
   /** Starts the instance with a list of sound servers s0, s1, ... one at each position. */
