--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -154,7 +154,7 @@
       srv.position = line.position();
       srv.inService = line.status() == Event.ServerStatus.IN_SERVICE;
       if (line.startedAt() > srv.startedAt) {
-        srv.startedAt = line.startedAt();
+        started(srv, line.startedAt());
         srv.trialAt = Math.min(srv.trialAt, now);
       }
     }
@@ -246,7 +246,7 @@
       case COMPLETED -> {
         if (srv.down) {
           srv.down = false;
-          srv.startedAt = Math.max(srv.startedAt, now);
+          started(srv, now);
         }
         if (!dispatch.overdue) {
           typical += (tookUs - typical) * LEARN;
@@ -525,7 +525,8 @@
   /**
    * Rule 4. A warm server is taken to carry what one core can, or the most that one was seen to answer us in
    * a window; a cold one the cold share of that, rising evenly. Ours is one part of as many as there are
-   * gatherers, over any window, and the window stretches where that is under one part.
+   * gatherers, over any window, and the window stretches where that is under one part. Gatherers are told of a
+   * start together, so that each begins such a window at a moment of its own; else all would send at once.
    */
   private boolean coldRoom(ShardServer srv) {
     Settings.Rules rules = settings.rules();
@@ -538,8 +539,16 @@
     double unit = Math.max(typical, shortestTarget * TYPICAL_START) + settings.layout().callUs();
     double warm = Math.max(carried, rules.tipAfterUs() / unit);
     double budget = Math.max(SUM_SLACK, capacity * rules.fallMultiple() * warm / settings.instances());
-    expire(srv.coldSends, Math.round(rules.tipAfterUs() / Math.min(1, budget)));
-    return srv.coldSends.size() + 1 <= Math.max(1, budget);
+    long window = Math.round(rules.tipAfterUs() / Math.min(1, budget));
+    expire(srv.coldSends, window);
+    boolean begun = budget >= 1 || now - srv.coldToldAt >= srv.coldPhase * window;
+    return begun && srv.coldSends.size() + 1 <= Math.max(1, budget);
+  }
+
+  private void started(ShardServer srv, long at) {
+    srv.startedAt = at;
+    srv.coldToldAt = now;
+    srv.coldPhase = chance();
   }
 
   private void send(Part part, ShardServer srv) {
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -11,6 +11,9 @@
   public int position;
   public boolean inService;
   public long startedAt;
+  /** When we were told of that start, and by what share of a window we wait before the first part. */
+  public long coldToldAt;
+  public double coldPhase;
   /** The call that parts sent at this moment share, and how many share it so far. */
   public long callAt = -1;
   public long call;
