--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -46,6 +46,8 @@
   private static final int TRIAL_DOUBLINGS = 3;
   private static final double OVERLOADED_SHARE = 1.0 / 4;
   private static final int FURTHER_MOST = 2;
+  private static final int FATAL = 2;
+  private static final int SCOUT_TARGETS = 16;
   private static final int MARGIN_TICKS = 3;
   private static final double SUM_SLACK = 0.00005;
 
@@ -66,6 +68,7 @@
   /** By table type, the shortest time that a client's first try has left. */
   private final Map<String, Long> spans = new HashMap<>();
   private final Deque<Long> taken = new ArrayDeque<>();
+  private final Deque<Long> breaks = new ArrayDeque<>();
   private final Deque<Long> further = new ArrayDeque<>();
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
@@ -218,6 +221,10 @@
     live.remove(dispatch);
     judge(dispatch, ended.tookUs());
     boolean open = part.scan.verdict == Verdict.OPEN;
+    if (ended.outcome() == Outcome.BROKEN) {
+      part.scan.broken++;
+      remember(breaks, SCOUT_TARGETS * shortestTarget);
+    }
     if (open && ended.outcome() == Outcome.COMPLETED) {
       part.stage = Stage.IN;
       drop(part);
@@ -322,11 +329,11 @@
       boostAt = now;
     }
     for (Scan scan : List.copyOf(scans.values())) {
-      if (!scan.selected) {
+      if (!scan.selected && !scouting(scan, overload)) {
         select(scan, overload);
       }
       if (scan.verdict == Verdict.OPEN) {
-        for (Part part : scan.parts) {
+        for (Part part : scan.selected ? scan.parts : scan.parts.subList(0, Math.min(1, scan.parts.size()))) {
           pursue(part, overload);
         }
         conclude(scan);
@@ -361,14 +368,35 @@
       double fall = rank < top ? 0 : (rank - top + 1.0) / (most - top);
       double threshold = cap * (1 - fall * (1 - IDLE));
       double load = load(part.shard);
-      if (rank < top ? load > cap : load >= threshold) {
+      if (part.stage == Stage.HELD && (rank < top ? load > cap : load >= threshold)) {
         part.stage = Stage.UNSENT;
-      } else {
+      } else if (part.stage == Stage.HELD) {
         first(part, overload);
       }
     }
   }
 
+  /**
+   * Exception: the heaviest part of a scan goes first and alone, the others once it is in, or is out for long.
+   */
+  private boolean scouting(Scan scan, boolean overload) {
+    expire(breaks, SCOUT_TARGETS * shortestTarget);
+    if (breaks.size() < FATAL || overload || scan.parts.size() < 2 || scan.limitAt - now <= margin() || scan.step > 0) {
+      return false;
+    }
+    scan.parts.sort(Comparator.comparingDouble((Part p) -> -p.weight).thenComparingInt(p -> p.shard));
+    Part scout = scan.parts.get(0);
+    if (scout.stage == Stage.IN) {
+      return false;
+    }
+    if (scout.dispatches.isEmpty()) {
+      return true;
+    }
+    long until = scout.dispatches.get(0).sentAt + Math.round(scan.type.targetUs() * PATIENCE_LEAST);
+    wake(until);
+    return scan.broken > 0 || now < until;
+  }
+
   private boolean troubled(Part part) {
     Shard shard = shard(part.shard);
     return shard.capPerReplica < CAP_START || now - shard.troubledAt < TROUBLE_US;
@@ -602,7 +630,11 @@
     boolean enough = in >= floor - SUM_SLACK;
     long answerAt = scan.targetAt - (moreSteps(scan) ? Math.round(type.targetUs() * STEP_RESERVE) : margin());
     long endAt = scan.limitAt - margin();
-    if (none && now < endAt) {
+    // Dispatches that broke and none in: the scan itself may bring its servers down.
+    boolean fatal = scan.broken >= FATAL && scan.parts.stream().noneMatch(p -> p.stage == Stage.IN);
+    if (fatal) {
+      giveUp(scan);
+    } else if (none && now < endAt) {
       wake(endAt);
     } else if (whole && !none) {
       close(scan, Verdict.ANSWER_WHOLE);
--- a/src/main/java/tidebank/model/Scan.java
+++ b/src/main/java/tidebank/model/Scan.java
@@ -25,6 +25,8 @@
   public long targetAt;
   public int step;
   public boolean selected;
+  /** Dispatches whose connection dropped while they were out. */
+  public int broken;
   public boolean firstWhole;
   public boolean overShare;
   public Verdict verdict = Verdict.OPEN;
