--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -155,6 +155,7 @@
     for (Event.Listed line : list.entries()) {
       ShardServer srv = servers.computeIfAbsent(line.server(), id -> new ShardServer(id, SPILL_START));
       srv.position = line.position();
+      srv.size = Math.max(1, line.rating());
       srv.inService = line.status() == Event.ServerStatus.IN_SERVICE;
       if (line.startedAt() > srv.startedAt) {
         started(srv, line.startedAt());
@@ -392,7 +393,7 @@
     if (scout.dispatches.isEmpty()) {
       return true;
     }
-    long until = scout.dispatches.get(0).sentAt + Math.round(scan.type.targetUs() * PATIENCE_LEAST);
+    long until = scout.dispatches.get(0).sentAt + Math.round(Math.min(patience(scan), SLOW * typical));
     wake(until);
     return scan.broken > 0 || now < until;
   }
@@ -551,8 +552,8 @@
   }
 
   /**
-   * Rule 4. A warm server is taken to carry what one core can, or the most that one was seen to answer us in
-   * a window; a cold one the cold share of that, rising evenly. Ours is one part of as many as there are
+   * Rule 4. A warm server is taken to carry what one core can, more by its told size, or the most that one was
+   * seen to answer us in a window; a cold one the cold share of that, rising evenly. Ours is one part of as many as there are
    * gatherers, over any window, and the window stretches where that is under one part. Gatherers are told of a
    * start together, so that each begins such a window at a moment of its own; else all would send at once.
    */
@@ -565,7 +566,7 @@
     }
     double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
     double unit = Math.max(typical, shortestTarget * TYPICAL_START) + settings.layout().callUs();
-    double warm = Math.max(carried, rules.tipAfterUs() / unit);
+    double warm = Math.max(carried, srv.size * rules.tipAfterUs() / unit);
     double budget = Math.max(SUM_SLACK, capacity * rules.fallMultiple() * warm / settings.instances());
     long window = Math.round(rules.tipAfterUs() / Math.min(1, budget));
     expire(srv.coldSends, window);
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -9,6 +9,8 @@
 public final class ShardServer {
   public final String id;
   public int position;
+  /** As the list rates it, 1 at least. */
+  public double size = 1;
   public boolean inService;
   public long startedAt;
   /** When we were told of that start, and by what share of a window we wait before the first part. */
