--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -35,6 +35,7 @@
   private static final double OUT_LONG = 1.4;
   private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
+  private static final double LOW = 0.2;
   private static final double LEARN = 1.0 / 32;
   // The sequential test: the share of bad ends of a sound and of a sick server, and the error it may make.
   private static final double BAD_SOUND = 0.05;
@@ -73,6 +74,8 @@
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
   private double typical;
+  /** What a quick answer takes, one that hardly waited. */
+  private double service;
   /** The most parts that one server was seen to answer within the time that a cold one takes to fall. */
   private double carried;
   /** T as a share of the parts: half at start and under overload, growing to all with answers in time. */
@@ -94,6 +97,7 @@
     this.shortestTarget = settings.tableTypes().values().stream()
         .mapToLong(TableType::targetUs).filter(t -> t > 0).min().orElse(TROUBLE_US);
     this.typical = shortestTarget * TYPICAL_START;
+    this.service = typical;
     this.askWait = askLeast();
   }
 
@@ -258,6 +262,7 @@
         }
         if (!dispatch.overdue) {
           typical += (tookUs - typical) * LEARN;
+          service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
           boost = Math.min(1, boost + BOOST_GAIN);
           shard.capPerReplica += 1.0 / Math.max(1, holders(dispatch.part.shard).size());
           if (now - srv.countFrom >= settings.rules().tipAfterUs()) {
@@ -565,7 +570,7 @@
       return true;
     }
     double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
-    double unit = Math.max(typical, shortestTarget * TYPICAL_START) + settings.layout().callUs();
+    double unit = Math.max(service, shortestTarget * TYPICAL_START) + settings.layout().callUs();
     double warm = Math.max(carried, srv.size * rules.tipAfterUs() / unit);
     double budget = Math.max(SUM_SLACK, capacity * rules.fallMultiple() * warm / settings.instances());
     long window = Math.round(rules.tipAfterUs() / Math.min(1, budget));
