--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -25,7 +25,6 @@
   private static final double CALL_MORE = 0.5;
   private static final double IDLE = 0.1;
   private static final double HALF = 0.5;
-  private static final double BOOST_GAIN = 1.0 / 128;
   private static final long TROUBLE_US = 1_000_000;
   // Shares of a target time: how long a dispatch may take at the least and at the most before it is overdue.
   private static final double PATIENCE_LEAST = 0.33;
@@ -35,6 +34,7 @@
   private static final double OUT_LONG = 1.4;
   private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
+  private static final double STRAIN_FAST = 1.0 / 6;
   private static final double LOW = 0.2;
   private static final double LEARN = 1.0 / 32;
   // The sequential test: the share of bad ends of a sound and of a sick server, and the error it may make.
@@ -78,9 +78,8 @@
   private double service;
   /** The most parts that one server was seen to answer within the time that a cold one takes to fall. */
   private double carried;
-  /** T as a share of the parts: half at start and under overload, growing to all with answers in time. */
-  private double boost = HALF;
-  private long boostAt = Long.MIN_VALUE / 2;
+  /** The share of our latest dispatches that were overdue or refused, whatever the servers. */
+  private double strain = OVERLOADED_SHARE * HALF;
   private long calls;
   private long now;
   private long wakeAt;
@@ -263,7 +262,7 @@
         if (!dispatch.overdue) {
           typical += (tookUs - typical) * LEARN;
           service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
-          boost = Math.min(1, boost + BOOST_GAIN);
+          tell(srv, false);
           shard.capPerReplica += 1.0 / Math.max(1, holders(dispatch.part.shard).size());
           if (now - srv.countFrom >= settings.rules().tipAfterUs()) {
             srv.countFrom = now;
@@ -277,7 +276,7 @@
       }
       case FULL -> {
         halve(shard);
-        srv.strainedAt = now;
+        tell(srv, true);
       }
       case TIMED_OUT -> {
         overdue(dispatch);
@@ -295,7 +294,7 @@
   private void overdue(Dispatch dispatch) {
     if (!dispatch.overdue) {
       dispatch.overdue = true;
-      dispatch.server.strainedAt = now;
+      tell(dispatch.server, true);
       doubt(dispatch.server, DOUBT_BAD);
       if (overload()) {
         halve(shard(dispatch.part.shard));
@@ -318,11 +317,17 @@
     }
   }
 
+  /** A server tells once a second of strain, or of none, so that one is not the fleet. */
+  private void tell(ShardServer srv, boolean strained) {
+    if (strained && now - srv.strainedAt >= TROUBLE_US || now - srv.toldAt >= TROUBLE_US) {
+      srv.toldAt = now;
+      srv.strainedAt = strained ? now : srv.strainedAt;
+      strain += ((strained ? 1 : 0) - strain) / Math.max(1 / STRAIN_FAST, Math.min(1 / LEARN, servers.size()));
+    }
+  }
+
   private boolean overload() {
-    List<ShardServer> listed = servers.values().stream().filter(srv -> srv.inService).toList();
-    long strained = listed.stream().filter(srv -> !srv.down && now - srv.strainedAt < TROUBLE_US).count();
-    // One server alone is never the fleet, unless there is only one.
-    return strained >= Math.max(Math.min(2, listed.size()), listed.size() * OVERLOADED_SHARE) && strained > 0;
+    return strain >= OVERLOADED_SHARE;
   }
 
   // ---- what is wanted
@@ -330,10 +335,6 @@
   private void review() {
     live.stream().filter(d -> now >= d.dueAt).forEach(this::overdue);
     boolean overload = overload();
-    if (overload && now - boostAt >= TROUBLE_US) {
-      boost = Math.min(HALF, boost * HALF);
-      boostAt = now;
-    }
     for (Scan scan : List.copyOf(scans.values())) {
       if (!scan.selected && !scouting(scan, overload)) {
         select(scan, overload);
@@ -363,7 +364,8 @@
       return;
     }
     int most = ranked.size();
-    int top = (int) Math.ceil(most * boost);
+    // T falls from all parts to none as strain grows; it starts at half of them.
+    int top = (int) Math.ceil(most * Math.max(0, 1 - strain / OVERLOADED_SHARE));
     double weight = 0;
     for (int rank = 0; rank < most; rank++) {
       Part part = ranked.get(rank);
@@ -374,7 +376,7 @@
       double fall = rank < top ? 0 : (rank - top + 1.0) / (most - top);
       double threshold = cap * (1 - fall * (1 - IDLE));
       double load = load(part.shard);
-      if (part.stage == Stage.HELD && (rank < top ? load > cap : load >= threshold)) {
+      if (part.stage == Stage.HELD && (rank < top ? load > cap : overload || load >= threshold)) {
         part.stage = Stage.UNSENT;
       } else if (part.stage == Stage.HELD) {
         first(part, overload);
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -35,6 +35,7 @@
   public boolean down;
   public long trialAt;
   public long trialWait;
+  public long toldAt = Long.MIN_VALUE / 2;
   public long strainedAt = Long.MIN_VALUE / 2;
 
   public ShardServer(String id, double spill) {
