--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -259,8 +259,8 @@
           srv.down = false;
           started(srv, now);
         }
+        typical += (tookUs - typical) * LEARN;
         if (!dispatch.overdue) {
-          typical += (tookUs - typical) * LEARN;
           service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
           tell(srv, false);
           shard.capPerReplica += 1.0 / Math.max(1, holders(dispatch.part.shard).size());
@@ -327,7 +327,7 @@
   }
 
   private boolean overload() {
-    return strain >= OVERLOADED_SHARE;
+    return strain >= OVERLOADED_SHARE && typical >= SLOW * service;
   }
 
   // ---- what is wanted
@@ -365,7 +365,7 @@
     }
     int most = ranked.size();
     // T falls from all parts to none as strain grows; it starts at half of them.
-    int top = (int) Math.ceil(most * Math.max(0, 1 - strain / OVERLOADED_SHARE));
+    int top = (int) Math.ceil(most * (typical < SLOW * service ? 1 : Math.max(0, 1 - strain / OVERLOADED_SHARE)));
     double weight = 0;
     for (int rank = 0; rank < most; rank++) {
       Part part = ranked.get(rank);
