--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -35,6 +35,9 @@
   private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
   private static final double STRAIN_FAST = 1.0 / 6;
+  private static final double IDLE_LEARN = 1.0 / 16;
+  private static final double IDLE_BAD = 0.1;
+  private static final double IDLE_TRIAL = 1.0 / 32;
   private static final double LOW = 0.2;
   private static final double LEARN = 1.0 / 32;
   // The sequential test: the share of bad ends of a sound and of a sick server, and the error it may make.
@@ -74,6 +77,9 @@
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
   private double typical;
+  /** Shares of parts that became overdue on connections without and with recent use. */
+  private double idleLoss;
+  private double busyLoss;
   /** What a quick answer takes, one that hardly waited. */
   private double service;
   /** The most parts that one server was seen to answer within the time that a cold one takes to fall. */
@@ -222,6 +228,9 @@
     }
     Dispatch dispatch = part.dispatches.get(ended.dispatch());
     dispatch.end(ended.outcome());
+    if (ended.outcome() == Outcome.COMPLETED || ended.outcome() == Outcome.ERROR) {
+      dispatch.server.heardAt = now;
+    }
     live.remove(dispatch);
     judge(dispatch, ended.tookUs());
     boolean open = part.scan.verdict == Verdict.OPEN;
@@ -284,6 +293,7 @@
       }
       case ERROR -> doubt(srv, DOUBT_BAD);
       case BROKEN, UNREACHABLE -> {
+        learnIdle(dispatch, 1);
         srv.down = true;
         doubt(srv, DOUBT_BOUND);
       }
@@ -294,6 +304,10 @@
   private void overdue(Dispatch dispatch) {
     if (!dispatch.overdue) {
       dispatch.overdue = true;
+      learnIdle(dispatch, 1);
+      if (dispatch.idle && reaped()) {
+        return;
+      }
       tell(dispatch.server, true);
       doubt(dispatch.server, DOUBT_BAD);
       if (overload()) {
@@ -302,6 +316,22 @@
     }
   }
 
+  private void learnIdle(Dispatch dispatch, int bad) {
+    if (dispatch.idle) {
+      idleLoss += (bad - idleLoss) * IDLE_LEARN;
+    } else {
+      busyLoss += (bad - busyLoss) * IDLE_LEARN;
+    }
+  }
+
+  /**
+   * Whether parts sent on connections without recent use stay out far more often than others: connections are
+   * dropped unseen. They are closed before use then, and silence on one tells nothing of its server.
+   */
+  private boolean reaped() {
+    return idleLoss >= IDLE_BAD && idleLoss >= SLOW * busyLoss;
+  }
+
   private void halve(Shard shard) {
     shard.capPerReplica *= HALF;
     shard.troubledAt = now;
@@ -447,7 +477,8 @@
         // A copy is worth its work only off a sick server, or where a part has been out for much longer than
         // is usual.
         long longAgo = now - Math.round(patience(part.scan) * OUT_LONG);
-        boolean sick = part.dispatches.stream().allMatch(d -> !d.out || d.server.sick || d.sentAt <= longAgo);
+        boolean sick = part.dispatches.stream().allMatch(
+            d -> !d.out || d.server.sick || d.sentAt <= longAgo || d.idle && reaped());
         if (srv != null && (part.out() == 0 || settings.limits().secondCopies() && sick)) {
           send(part, srv);
         } else if (srv != null && !srv.sick) {
@@ -597,6 +628,11 @@
     Scan scan = part.scan;
     Dispatch dispatch = new Dispatch(part, part.dispatches.size(), srv, now, srv.call);
     dispatch.dueAt = now + patience(scan);
+    dispatch.idle = srv.heardAt > 0 && now - srv.heardAt >= shortestTarget * HALF;
+    if (dispatch.idle && reaped() && (scan.type.repeat() != Repeat.REPLAYABLE || chance() >= IDLE_TRIAL)) {
+      dispatch.idle = false;
+      dispatch.anew = true;
+    }
     part.dispatches.add(dispatch);
     // Where it could not be called back, a dispatch has to end by itself before the next may go.
     boolean one = !settings.limits().secondCopies() && !settings.limits().cancel() && furtherEver(part);
@@ -706,6 +742,10 @@
     for (Dispatch dispatch : live) {
       if (dispatch.wanted && !dispatch.sent) {
         dispatch.sent = true;
+        if (dispatch.anew && dispatch.server.closedAt != now) {
+          dispatch.server.closedAt = now;
+          actions.add(new Action.Close(dispatch.server.id));
+        }
         actions.add(new Action.Send(dispatch.part.id, dispatch.server.id, dispatch.stopAt));
       } else if (!dispatch.wanted && !dispatch.cancelled && settings.limits().cancel()) {
         dispatch.cancelled = true;
--- a/src/main/java/tidebank/model/Action.java
+++ b/src/main/java/tidebank/model/Action.java
@@ -21,6 +21,9 @@
 
   record Probe(String server) implements Action {}
 
+  /** Close this instance's idle connections to a shard server. */
+  record Close(String server) implements Action {}
+
   record Follow(boolean on) implements Action {}
 
   record Note(String text) implements Action {}
--- a/src/main/java/tidebank/model/Dispatch.java
+++ b/src/main/java/tidebank/model/Dispatch.java
@@ -14,6 +14,9 @@
   public boolean out = true;
   public boolean wanted = true;
   public boolean sent;
+  /** Sent on a connection without recent use, or on a new one in place of such a one. */
+  public boolean idle;
+  public boolean anew;
   public boolean cancelled;
   public Outcome outcome;
 
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -35,6 +35,9 @@
   public boolean down;
   public long trialAt;
   public long trialWait;
+  /** When it last answered us, and when we last closed our idle connections to it. */
+  public long heardAt;
+  public long closedAt;
   public long toldAt = Long.MIN_VALUE / 2;
   public long strainedAt = Long.MIN_VALUE / 2;
 
--- a/src/main/java/tidebank/sim/ActionCodec.java
+++ b/src/main/java/tidebank/sim/ActionCodec.java
@@ -36,6 +36,9 @@
     } else if (action instanceof Action.Probe probe) {
       open(out, "Touch", instance);
       out.writeStringField("server", probe.server());
+    } else if (action instanceof Action.Close close) {
+      open(out, "Disconnect", instance);
+      out.writeStringField("server", close.server());
     } else if (action instanceof Action.Follow follow) {
       open(out, "Follow", instance);
       out.writeBooleanField("complete", follow.on());
