--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -68,7 +68,6 @@
   private final Map<String, Part> parts = new HashMap<>();
   private final List<Scan> decided = new ArrayList<>();
   private final List<Dispatch> live = new ArrayList<>();
-  private final Map<String, double[]> buckets = new HashMap<>();
   /** By table type, the shortest time that a client's first try has left. */
   private final Map<String, Long> spans = new HashMap<>();
   private final Deque<Long> taken = new ArrayDeque<>();
@@ -186,7 +185,6 @@
         new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 0, 1, 1, 0));
     Scan scan = new Scan(event.id(), event.number(), type, event.account(), event.limitAt(), event.resent());
     scan.targetAt = Math.min(firstAsked(scan) + type.targetUs(), scan.limitAt);
-    scan.overShare = overShare(scan);
     scans.put(scan.id, scan);
     byNumber.put(scan.number, scan);
     remember(taken, settings.rules().ratioSpanUs());
@@ -204,22 +202,6 @@
     return cut ? scan.limitAt - scan.type.timeoutUs() : now;
   }
 
-  /** A customer's bucket fills at this gatherer's part of its allowance and holds two target times' worth. */
-  private boolean overShare(Scan scan) {
-    Double allowance = settings.allowances().get(scan.account);
-    if (allowance == null) {
-      return false;
-    }
-    double perUs = allowance / 1e6 / settings.instances();
-    double most = Math.max(1, perUs * 2 * scan.type.targetUs());
-    double[] bucket = buckets.computeIfAbsent(scan.account, absent -> new double[] {most, now});
-    bucket[0] = Math.min(most, bucket[0] + (now - bucket[1]) * perUs);
-    bucket[1] = now;
-    boolean over = bucket[0] < 1;
-    bucket[0] -= over ? 0 : 1;
-    return over;
-  }
-
   private void takeEnd(Event.DispatchEnded ended) {
     Part part = parts.get(ended.part());
     if (part == null || ended.dispatch() >= part.dispatches.size()
@@ -386,7 +368,7 @@
     ranked.sort(Comparator.comparingDouble((Part p) -> -p.weight).thenComparingInt(p -> p.shard));
     scan.parts.clear();
     scan.parts.addAll(ranked);
-    if (ranked.isEmpty() || scan.limitAt - now <= margin() || overload && scan.overShare) {
+    if (ranked.isEmpty() || scan.limitAt - now <= margin()) {
       giveUp(scan);
       return;
     }
--- a/src/main/java/tidebank/model/Scan.java
+++ b/src/main/java/tidebank/model/Scan.java
@@ -28,7 +28,6 @@
   /** Dispatches whose connection dropped while they were out. */
   public int broken;
   public boolean firstWhole;
-  public boolean overShare;
   public Verdict verdict = Verdict.OPEN;
 
   public Scan(String id, long number, TableType type, String account, long limitAt, boolean resent) {
