--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -26,6 +26,7 @@
   private static final double IDLE = 0.1;
   private static final double HALF = 0.5;
   private static final long TROUBLE_US = 1_000_000;
+  private static final long EVIDENCE_US = 4 * TROUBLE_US;
   // Shares of a target time: how long a dispatch may take at the least and at the most before it is overdue.
   private static final double PATIENCE_LEAST = 0.33;
   private static final double PATIENCE_MOST = 0.6;
@@ -76,6 +77,7 @@
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
   private double typical;
+  private long typicalAt;
   /** Shares of parts that became overdue on connections without and with recent use. */
   private double idleLoss;
   private double busyLoss;
@@ -250,7 +252,8 @@
           srv.down = false;
           started(srv, now);
         }
-        typical += (tookUs - typical) * LEARN;
+        typical += (tookUs - typical) * Math.max(LEARN, 1 - Math.exp((typicalAt - now) / (double) EVIDENCE_US));
+        typicalAt = now;
         if (!dispatch.overdue) {
           service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
           tell(srv, false);
@@ -299,6 +302,9 @@
   }
 
   private void learnIdle(Dispatch dispatch, int bad) {
+    if (bad > 0 && waiting() && dispatch.outcome != Outcome.UNREACHABLE) {
+      return;
+    }
     if (dispatch.idle) {
       idleLoss += (bad - idleLoss) * IDLE_LEARN;
     } else {
@@ -339,7 +345,12 @@
   }
 
   private boolean overload() {
-    return strain >= OVERLOADED_SHARE && typical >= SLOW * service;
+    return strain >= OVERLOADED_SHARE && waiting();
+  }
+
+  /** Whether the answers that come have waited: a queue makes all answers slow, silence only some missing. */
+  private boolean waiting() {
+    return typical >= SLOW * service;
   }
 
   // ---- what is wanted
@@ -377,7 +388,7 @@
     }
     int most = ranked.size();
     // T falls from all parts to none as strain grows; it starts at half of them.
-    int top = (int) Math.ceil(most * (typical < SLOW * service ? 1 : Math.max(0, 1 - strain / OVERLOADED_SHARE)));
+    int top = (int) Math.ceil(most * (waiting() ? Math.max(0, 1 - strain / OVERLOADED_SHARE) : 1));
     double weight = 0;
     for (int rank = 0; rank < most; rank++) {
       Part part = ranked.get(rank);
