--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -77,7 +77,9 @@
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
   private double typical;
-  private long typicalAt;
+  /** The same, but forgetting with time as well. */
+  private double recent;
+  private long recentAt;
   /** Shares of parts that became overdue on connections without and with recent use. */
   private double idleLoss;
   private double busyLoss;
@@ -104,6 +106,7 @@
         .mapToLong(TableType::targetUs).filter(t -> t > 0).min().orElse(TROUBLE_US);
     this.typical = shortestTarget * TYPICAL_START;
     this.service = typical;
+    this.recent = typical;
     this.askWait = askLeast();
   }
 
@@ -252,8 +255,9 @@
           srv.down = false;
           started(srv, now);
         }
-        typical += (tookUs - typical) * Math.max(LEARN, 1 - Math.exp((typicalAt - now) / (double) EVIDENCE_US));
-        typicalAt = now;
+        typical += (tookUs - typical) * LEARN;
+        recent += (tookUs - recent) * Math.max(LEARN, 1 - Math.exp((recentAt - now) / (double) EVIDENCE_US));
+        recentAt = now;
         if (!dispatch.overdue) {
           service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
           tell(srv, false);
@@ -350,7 +354,7 @@
 
   /** Whether the answers that come have waited: a queue makes all answers slow, silence only some missing. */
   private boolean waiting() {
-    return typical >= SLOW * service;
+    return recent >= SLOW * service;
   }
 
   // ---- what is wanted
