--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -28,9 +28,6 @@
   public int counted;
   /** Log-likelihood ratio of the sequential test; above its bound the server is held to be sick. */
   public double doubt;
-
-  /** How many of our parts it may hold as a home before a part goes elsewhere. */
-  public double spill;
   public boolean sick;
   public boolean down;
   public long trialAt;
@@ -41,8 +38,7 @@
   public long toldAt = Long.MIN_VALUE / 2;
   public long strainedAt = Long.MIN_VALUE / 2;
 
-  public ShardServer(String id, double spill) {
+  public ShardServer(String id) {
     this.id = id;
-    this.spill = spill;
   }
 }
