--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -19,7 +19,7 @@
   // The design's figures.
   private static final double CAP_START = 8;
   private static final double SPILL_START = 4;
-  private static final double SPILL_LEAST = 0;
+  private static final double SPILL_LEAST = 1;
   private static final double SPILL_GAIN = 1.0 / 16;
   private static final double SLOW = 2;
   private static final double CALL_MORE = 0.5;
@@ -168,7 +168,7 @@
       servers.values().forEach(srv -> srv.inService = false);
     }
     for (Event.Listed line : list.entries()) {
-      ShardServer srv = servers.computeIfAbsent(line.server(), ShardServer::new);
+      ShardServer srv = servers.computeIfAbsent(line.server(), id -> new ShardServer(id, SPILL_START));
       srv.position = line.position();
       srv.size = Math.max(1, line.rating());
       srv.inService = line.status() == Event.ServerStatus.IN_SERVICE;
@@ -249,7 +249,8 @@
     Shard shard = shard(dispatch.part.shard);
     // The overflow figure of a home starts at the page's and follows how its answers come.
     boolean quick = dispatch.outcome == Outcome.COMPLETED && tookUs <= SLOW * typical;
-    spill = quick ? Math.min(SPILL_START, spill + SPILL_GAIN) : Math.max(SPILL_LEAST, spill * HALF);
+    spill = spilled(spill, quick, 0);
+    srv.spill = spilled(srv.spill, quick, SPILL_LEAST);
     switch (dispatch.outcome) {
       case COMPLETED -> {
         if (srv.down) {
@@ -291,6 +292,10 @@
     }
   }
 
+  private static double spilled(double spill, boolean quick, double least) {
+    return quick ? Math.min(SPILL_START, spill + SPILL_GAIN) : Math.max(least, spill * HALF);
+  }
+
   private void overdue(Dispatch dispatch) {
     if (!dispatch.overdue) {
       dispatch.overdue = true;
@@ -565,7 +570,7 @@
         .filter(srv -> part.dispatches.stream().noneMatch(d -> d.server == srv)).toList();
     List<ShardServer> sound = (fresh.isEmpty() ? open : fresh).stream().filter(srv -> !srv.sick).toList();
     List<ShardServer> pick = !sound.isEmpty() ? sound : fresh.isEmpty() ? open : fresh;
-    if (pick.get(0) == home && held(home) <= spill) {
+    if (pick.get(0) == home && held(home) <= Math.min(spill, home.spill)) {
       return home;
     }
     return pick.stream().min(Comparator.comparingDouble(this::held)).orElseThrow();
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -28,6 +28,8 @@
   public int counted;
   /** Log-likelihood ratio of the sequential test; above its bound the server is held to be sick. */
   public double doubt;
+  /** How many of our parts it may hold as a home before a part goes elsewhere. */
+  public double spill;
   public boolean sick;
   public boolean down;
   public long trialAt;
@@ -38,7 +40,8 @@
   public long toldAt = Long.MIN_VALUE / 2;
   public long strainedAt = Long.MIN_VALUE / 2;
 
-  public ShardServer(String id) {
+  public ShardServer(String id, double spill) {
     this.id = id;
+    this.spill = spill;
   }
 }
