--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -360,7 +360,7 @@
 
   /** Whether the answers that come have waited: a queue makes all answers slow, silence only some missing. */
   private boolean waiting() {
-    return recent >= SLOW * service;
+    return recent >= Math.min(SLOW * service, shortestTarget * PATIENCE_LEAST);
   }
 
   // ---- what is wanted
