--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -262,7 +262,7 @@
         recentAt = now;
         if (!dispatch.overdue) {
           service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
-          tell(srv, false);
+          tell(srv, tookUs >= dispatch.part.scan.type.targetUs() * PATIENCE_LEAST);
           shard.capPerReplica += 1.0 / Math.max(1, holders(dispatch.part.shard).size());
           if (now - srv.countFrom >= settings.rules().tipAfterUs()) {
             srv.countFrom = now;
