--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -49,7 +49,7 @@
   private static final double DOUBT_GOOD = Math.log((1 - BAD_SICK) / (1 - BAD_SOUND));
   private static final double DOUBT_BOUND = Math.log((1 - TEST_ERROR) / TEST_ERROR);
   private static final int TRIAL_DOUBLINGS = 3;
-  private static final double OVERLOADED_SHARE = 1.0 / 4;
+  private static final double OVERLOADED_SHARE = 1.0 / 3;
   private static final int FURTHER_MOST = 2;
   private static final int FATAL = 2;
   private static final int SCOUT_TARGETS = 16;
@@ -262,7 +262,7 @@
         recentAt = now;
         if (!dispatch.overdue) {
           service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
-          tell(srv, tookUs >= dispatch.part.scan.type.targetUs() * PATIENCE_LEAST);
+          tell(srv, tookUs >= dispatch.part.scan.type.targetUs() * HALF);
           shard.capPerReplica += 1.0 / Math.max(1, holders(dispatch.part.shard).size());
           if (now - srv.countFrom >= settings.rules().tipAfterUs()) {
             srv.countFrom = now;
@@ -398,7 +398,7 @@
     }
     int most = ranked.size();
     // T falls from all parts to none as strain grows; it starts at half of them.
-    int top = (int) Math.ceil(most * (waiting() ? Math.max(0, 1 - strain / OVERLOADED_SHARE) : 1));
+    int top = (int) Math.ceil(most * (waiting() ? Math.min(1, Math.max(0, 2 - 2 * strain / OVERLOADED_SHARE)) : 1));
     double weight = 0;
     for (int rank = 0; rank < most; rank++) {
       Part part = ranked.get(rank);
