--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -1,9 +1,6 @@
 package tidebank;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import java.util.*;
-import java.util.zip.CRC32;
 import tidebank.model.*;
 import tidebank.model.Part.Stage;
 import tidebank.model.Scan.Verdict;
@@ -57,23 +54,20 @@
   private static final double SUM_SLACK = 0.00005;
 
   private final Settings settings;
-  private final long seed;
-  private long chances;
-  private final Map<String, ShardServer> servers = new TreeMap<>();
-  private final Map<Integer, List<ShardServer>> byPosition = new HashMap<>();
-  /** Found once a shard and list, as every part asks several times. */
-  private final Map<Integer, List<ShardServer>> byShard = new HashMap<>();
+  private final Chance chance;
+  private final Fleet fleet;
+  private final Agenda agenda = new Agenda();
   private final Map<Integer, Shard> shards = new HashMap<>();
-  private final Map<String, Scan> scans = new LinkedHashMap<>();
+  private final Map<String, Scan> scans = new HashMap<>();
   private final Map<Long, Scan> byNumber = new HashMap<>();
   private final Map<String, Part> parts = new HashMap<>();
   private final List<Scan> decided = new ArrayList<>();
-  private final List<Dispatch> live = new ArrayList<>();
+  private final List<Dispatch> unsettled = new ArrayList<>();
   /** By table type, the shortest time that a client's first try has left. */
   private final Map<String, Long> spans = new HashMap<>();
-  private final Deque<Long> taken = new ArrayDeque<>();
-  private final Deque<Long> breaks = new ArrayDeque<>();
-  private final Deque<Long> further = new ArrayDeque<>();
+  private final Window taken = new Window();
+  private final Window breaks = new Window();
+  private final Window further = new Window();
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
   private double typical;
@@ -93,7 +87,6 @@
   private double strain = OVERLOADED_SHARE * HALF;
   private long calls;
   private long now;
-  private long wakeAt;
   private long armedAt = Long.MAX_VALUE;
   private long timers;
   private boolean following;
@@ -103,7 +96,8 @@
 
   public Brain(Settings settings, long seed) {
     this.settings = settings;
-    this.seed = seed;
+    this.chance = new Chance(seed);
+    this.fleet = new Fleet(settings.layout());
     this.shortestTarget = settings.tableTypes().values().stream()
         .mapToLong(TableType::targetUs).filter(t -> t > 0).min().orElse(TROUBLE_US);
     this.typical = shortestTarget * TYPICAL_START;
@@ -115,7 +109,6 @@
   /** Takes what happened and returns what to do. */
   public List<Action> on(long clock, List<Event> events) {
     now = clock;
-    wakeAt = Long.MAX_VALUE;
     actions.clear();
     for (Event event : events) {
       take(event);
@@ -134,12 +127,13 @@
       takeScan(taken);
     } else if (event instanceof Event.PartTaken taken) {
       Scan scan = byNumber.get(taken.number());
-      remember(this.taken, settings.rules().ratioSpanUs());
+      this.taken.add(now, settings.rules().ratioSpanUs());
       if (scan != null && scan.verdict == Verdict.OPEN) {
         Part part = new Part(taken.id(), scan, taken.shard(), taken.weight(), taken.key(), scan.step);
         part.stage = Stage.HELD;
         scan.parts.add(part);
         parts.put(part.id, part);
+        agenda.changed(scan);
       }
     } else if (event instanceof Event.DispatchEnded ended) {
       takeEnd(ended);
@@ -156,7 +150,7 @@
   private void takeList(Event.ListSeen list) {
     if (list.kind() == Event.ListKind.LOST) {
       following = false;
-      askAt = now + askWait / 2 + Math.round(chance() * askWait / 2);
+      askAt = now + askWait / 2 + Math.round(chance.next() * askWait / 2);
       askWait = Math.min(2 * askWait, settings.rules().askEveryUs());
       return;
     }
@@ -164,26 +158,14 @@
       followAnswered = true;
       askWait = askLeast();
     }
-    if (list.kind() != Event.ListKind.CHANGES) {
-      servers.values().forEach(srv -> srv.inService = false);
-    }
+    fleet.take(list);
     for (Event.Listed line : list.entries()) {
-      ShardServer srv = servers.computeIfAbsent(line.server(), id -> new ShardServer(id, SPILL_START));
-      srv.position = line.position();
-      srv.size = Math.max(1, line.rating());
-      srv.inService = line.status() == Event.ServerStatus.IN_SERVICE;
-      if (line.startedAt() > srv.startedAt) {
+      ShardServer srv = fleet.get(line.server());
+      if (srv != null && line.startedAt() > srv.startedAt) {
         started(srv, line.startedAt());
         srv.trialAt = Math.min(srv.trialAt, now);
       }
     }
-    byPosition.clear();
-    byShard.clear();
-    for (ShardServer srv : servers.values()) {
-      if (srv.inService) {
-        byPosition.computeIfAbsent(srv.position, absent -> new ArrayList<>()).add(srv);
-      }
-    }
   }
 
   private void takeScan(Event.ScanTaken event) {
@@ -194,7 +176,8 @@
     scan.targetAt = Math.min(firstAsked(scan) + type.targetUs(), scan.limitAt);
     scans.put(scan.id, scan);
     byNumber.put(scan.number, scan);
-    remember(taken, settings.rules().ratioSpanUs());
+    agenda.changed(scan);
+    taken.add(now, settings.rules().ratioSpanUs());
   }
 
   /**
@@ -220,12 +203,12 @@
     if (ended.outcome() == Outcome.COMPLETED || ended.outcome() == Outcome.ERROR) {
       dispatch.server.heardAt = now;
     }
-    live.remove(dispatch);
+    agenda.changed(part.scan);
     judge(dispatch, ended.tookUs());
     boolean open = part.scan.verdict == Verdict.OPEN;
     if (ended.outcome() == Outcome.BROKEN) {
       part.scan.broken++;
-      remember(breaks, SCOUT_TARGETS * shortestTarget);
+      breaks.add(now, SCOUT_TARGETS * shortestTarget);
     }
     if (open && ended.outcome() == Outcome.COMPLETED) {
       part.stage = Stage.IN;
@@ -250,7 +233,7 @@
     // The overflow figure of a home starts at the page's and follows how its answers come.
     boolean quick = dispatch.outcome == Outcome.COMPLETED && tookUs <= SLOW * typical;
     spill = spilled(spill, quick, 0);
-    srv.spill = spilled(srv.spill, quick, SPILL_LEAST);
+    srv.spillCut = SPILL_START - spilled(SPILL_START - srv.spillCut, quick, SPILL_LEAST);
     switch (dispatch.outcome) {
       case COMPLETED -> {
         if (srv.down) {
@@ -263,7 +246,7 @@
         if (!dispatch.overdue) {
           service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
           tell(srv, tookUs >= dispatch.part.scan.type.targetUs() * HALF);
-          shard.capPerReplica += 1.0 / Math.max(1, holders(dispatch.part.shard).size());
+          shard.capPerReplica += 1.0 / Math.max(1, fleet.holders(dispatch.part.shard).size());
           if (now - srv.countFrom >= settings.rules().tipAfterUs()) {
             srv.countFrom = now;
             srv.counted = 0;
@@ -350,7 +333,7 @@
     if (strained && now - srv.strainedAt >= TROUBLE_US || now - srv.toldAt >= TROUBLE_US) {
       srv.toldAt = now;
       srv.strainedAt = strained ? now : srv.strainedAt;
-      strain += ((strained ? 1 : 0) - strain) / Math.max(1 / STRAIN_FAST, Math.min(1 / LEARN, servers.size()));
+      strain += ((strained ? 1 : 0) - strain) / Math.max(1 / STRAIN_FAST, Math.min(1 / LEARN, fleet.size()));
     }
   }
 
@@ -366,20 +349,32 @@
   // ---- what is wanted
 
   private void review() {
-    live.stream().filter(d -> now >= d.dueAt).forEach(this::overdue);
-    boolean overload = overload();
-    for (Scan scan : List.copyOf(scans.values())) {
+    for (Scan scan : agenda.take(now)) {
+      if (scan.verdict != Verdict.OPEN) {
+        continue;
+      }
+      scan.parts.forEach(part -> part.dispatches.forEach(this::watch));
+      boolean overload = overload();
       if (!scan.selected && !scouting(scan, overload)) {
         select(scan, overload);
       }
-      if (scan.verdict == Verdict.OPEN) {
-        for (Part part : scan.selected ? scan.parts : scan.parts.subList(0, Math.min(1, scan.parts.size()))) {
+      for (Part part : scan.selected ? scan.parts : scan.parts.subList(0, Math.min(1, scan.parts.size()))) {
+        if (scan.verdict == Verdict.OPEN) {
           pursue(part, overload);
         }
+      }
+      if (scan.verdict == Verdict.OPEN) {
         conclude(scan);
       }
     }
-    live.stream().filter(d -> !d.overdue).forEach(d -> wake(d.dueAt));
+  }
+
+  private void watch(Dispatch dispatch) {
+    if (dispatch.out && now >= dispatch.dueAt) {
+      overdue(dispatch);
+    } else if (dispatch.out) {
+      agenda.at(dispatch.dueAt, dispatch.part.scan);
+    }
   }
 
   /** The design: the ranked parts that pass their threshold go, the others stay unsent. */
@@ -421,8 +416,7 @@
    * Exception: the heaviest part of a scan goes first and alone, the others once it is in, or is out for long.
    */
   private boolean scouting(Scan scan, boolean overload) {
-    expire(breaks, SCOUT_TARGETS * shortestTarget);
-    if (breaks.size() < FATAL || overload || scan.parts.size() < 2 || scan.limitAt - now <= margin() || scan.step > 0) {
+    if (breaks.count(now, SCOUT_TARGETS * shortestTarget) < FATAL || overload || scan.parts.size() < 2 || scan.limitAt - now <= margin() || scan.step > 0) {
       return false;
     }
     scan.parts.sort(Comparator.comparingDouble((Part p) -> -p.weight).thenComparingInt(p -> p.shard));
@@ -434,7 +428,7 @@
       return true;
     }
     long until = scout.dispatches.get(0).sentAt + Math.round(Math.min(patience(scan), SLOW * typical));
-    wake(until);
+    agenda.at(until, scan);
     return scan.broken > 0 || now < until;
   }
 
@@ -448,24 +442,11 @@
   }
 
   private double cap(int shard) {
-    return shard(shard).capPerReplica * holders(shard).size();
+    return shard(shard).capPerReplica * fleet.holders(shard).size();
   }
 
   private int load(int shard) {
-    return holders(shard).stream().mapToInt(srv -> srv.out.size()).sum();
-  }
-
-  private List<ShardServer> holders(int shard) {
-    return byShard.computeIfAbsent(shard, this::findHolders);
-  }
-
-  private List<ShardServer> findHolders(int shard) {
-    List<ShardServer> holders = new ArrayList<>();
-    Settings.Layout layout = settings.layout();
-    for (int j = 0; j < layout.width() && j < layout.positions(); j++) {
-      holders.addAll(byPosition.getOrDefault((shard + j) % layout.positions(), List.of()));
-    }
-    return holders;
+    return fleet.holders(shard).stream().mapToInt(srv -> srv.out.size()).sum();
   }
 
   /** First and further dispatches of a part that is still wanted. */
@@ -487,22 +468,22 @@
         } else if (srv != null && !srv.sick) {
           // One dispatch out at a time: it is called back from a sick server first, and sent on when it has
           // ended.
-          part.dispatches.forEach(d -> d.wanted &= !d.server.sick);
+          part.dispatches.stream().filter(d -> d.server.sick).forEach(this::unwant);
         }
       }
-      wake(now + patience(part.scan) / 4);
+      agenda.at(now + patience(part.scan) / 4, part.scan);
     }
   }
 
   private void first(Part part, boolean overload) {
     boolean late = now >= part.scan.targetAt && (overload || part.scan.type.lateBenefit() <= 0);
-    if (holders(part.shard).isEmpty() || late) {
+    if (fleet.holders(part.shard).isEmpty() || late) {
       part.stage = Stage.LOST;
       return;
     }
     ShardServer srv = place(part);
     if (srv == null) {
-      wake(now + patience(part.scan) / 4);
+      agenda.at(now + patience(part.scan) / 4, part.scan);
     } else {
       send(part, srv);
       part.stage = Stage.SENT;
@@ -523,11 +504,6 @@
         .allMatch(d -> d.sentAt > windowEnd);
   }
 
-  private void remember(Deque<Long> times, long spanUs) {
-    expire(times, spanUs);
-    times.add(now);
-  }
-
   /** A tick longer than the rule's span, to stay on its safe side. */
   private long furtherSpan() {
     return settings.rules().ratioSpanUs() + settings.tickUs();
@@ -535,29 +511,20 @@
 
   private boolean budgetLeft() {
     Settings.Rules rules = settings.rules();
-    expire(taken, rules.ratioSpanUs());
-    expire(further, furtherSpan());
-    return rules.ratioSpanUs() <= 0
-        || further.size() + 1 <= rules.freeResends() + rules.extraRatio() * taken.size();
-  }
-
-  /** Times remembered for a rule are forgotten as they leave its window. */
-  private void expire(Deque<Long> times, long spanUs) {
-    while (!times.isEmpty() && times.peekFirst() <= now - spanUs) {
-      times.removeFirst();
-    }
+    return rules.ratioSpanUs() <= 0 || further.count(now, furtherSpan()) + 1
+        <= rules.freeResends() + rules.extraRatio() * taken.count(now, rules.ratioSpanUs());
   }
 
   /** The replica for the next dispatch of a part, or null where none can take it now. */
   private ShardServer place(Part part) {
     List<ShardServer> open = new ArrayList<>();
-    for (ShardServer srv : holders(part.shard)) {
+    for (ShardServer srv : fleet.holders(part.shard)) {
       if (part.dispatches.stream().noneMatch(d -> d.out && d.server == srv) && coldRoom(srv)) {
         open.add(srv);
       }
     }
     String salt = (part.key.isEmpty() ? part.scan.id : part.key) + '/' + part.shard + '/';
-    open.sort(Comparator.comparingLong((ShardServer srv) -> -hash(salt + srv.id)));
+    open.sort(Comparator.comparingLong((ShardServer srv) -> -Chance.hash(salt + srv.id)));
     if (open.isEmpty()) {
       return null;
     }
@@ -570,7 +537,7 @@
         .filter(srv -> part.dispatches.stream().noneMatch(d -> d.server == srv)).toList();
     List<ShardServer> sound = (fresh.isEmpty() ? open : fresh).stream().filter(srv -> !srv.sick).toList();
     List<ShardServer> pick = !sound.isEmpty() ? sound : fresh.isEmpty() ? open : fresh;
-    if (pick.get(0) == home && held(home) <= Math.min(spill, home.spill)) {
+    if (pick.get(0) == home && held(home) <= Math.min(spill, SPILL_START - home.spillCut)) {
       return home;
     }
     return pick.stream().min(Comparator.comparingDouble(this::held)).orElseThrow();
@@ -602,23 +569,21 @@
     Settings.Rules rules = settings.rules();
     long age = now - srv.startedAt;
     if (srv.startedAt == 0 || age >= rules.coldUs()) {
-      srv.coldSends.clear();
       return true;
     }
     double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
     double unit = Math.max(service, shortestTarget * TYPICAL_START) + settings.layout().callUs();
-    double warm = Math.max(carried, srv.size * rules.tipAfterUs() / unit);
+    double warm = Math.max(carried, Math.max(1, srv.size) * rules.tipAfterUs() / unit);
     double budget = Math.max(SUM_SLACK, capacity * rules.fallMultiple() * warm / settings.instances());
     long window = Math.round(rules.tipAfterUs() / Math.min(1, budget));
-    expire(srv.coldSends, window);
     boolean begun = budget >= 1 || now - srv.coldToldAt >= srv.coldPhase * window;
-    return begun && srv.coldSends.size() + 1 <= Math.max(1, budget);
+    return begun && srv.coldSends.count(now, window) + 1 <= Math.max(1, budget);
   }
 
   private void started(ShardServer srv, long at) {
     srv.startedAt = at;
     srv.coldToldAt = now;
-    srv.coldPhase = chance();
+    srv.coldPhase = chance.next();
   }
 
   private void send(Part part, ShardServer srv) {
@@ -632,7 +597,7 @@
     Dispatch dispatch = new Dispatch(part, part.dispatches.size(), srv, now, srv.call);
     dispatch.dueAt = now + patience(scan);
     dispatch.idle = srv.heardAt > 0 && now - srv.heardAt >= shortestTarget * HALF;
-    if (dispatch.idle && reaped() && (scan.type.repeat() != Repeat.REPLAYABLE || chance() >= IDLE_TRIAL)) {
+    if (dispatch.idle && reaped() && (scan.type.repeat() != Repeat.REPLAYABLE || chance.next() >= IDLE_TRIAL)) {
       dispatch.idle = false;
       dispatch.anew = true;
     }
@@ -643,11 +608,12 @@
     dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt
         : late || now >= scan.targetAt ? scan.limitAt : scan.targetAt;
     if (dispatch.number > 0) {
-      remember(further, furtherSpan());
+      further.add(now, furtherSpan());
     }
-    srv.coldSends.add(now);
+    srv.coldSends.add(now, settings.rules().coldUs());
     srv.out.add(dispatch);
-    live.add(dispatch);
+    unsettled.add(dispatch);
+    agenda.at(dispatch.dueAt, scan);
   }
 
   private long patience(Scan scan) {
@@ -682,7 +648,7 @@
     if (fatal) {
       giveUp(scan);
     } else if (none && now < endAt) {
-      wake(endAt);
+      agenda.at(endAt, scan);
     } else if (whole && !none) {
       close(scan, Verdict.ANSWER_WHOLE);
     } else if (enough && (pending <= 0 || all || now >= answerAt || now >= endAt)) {
@@ -691,8 +657,7 @@
         || type.lateBenefit() <= 0 && now >= scan.targetAt) {
       giveUp(scan);
     } else {
-      wake(now < answerAt ? answerAt : now < scan.targetAt ? scan.targetAt : endAt);
-      wake(endAt);
+      agenda.at(now < answerAt ? answerAt : now < scan.targetAt ? scan.targetAt : endAt, scan);
     }
   }
 
@@ -711,18 +676,16 @@
 
   /** Nothing of the part is wanted any longer. */
   private void drop(Part part) {
-    for (Dispatch dispatch : List.copyOf(part.dispatches)) {
-      dispatch.wanted = false;
-      if (!dispatch.sent && dispatch.out) {
-        dispatch.end(Outcome.NEVER_SENT);
-        live.remove(dispatch);
-        part.dispatches.remove(dispatch);
-      }
-    }
+    part.dispatches.stream().filter(d -> d.out).forEach(this::unwant);
+    part.dispatches.removeIf(d -> d.outcome == Outcome.NEVER_SENT && !d.sent);
   }
 
-  private void wake(long at) {
-    wakeAt = Math.min(wakeAt, at);
+  private void unwant(Dispatch dispatch) {
+    dispatch.wanted = false;
+    unsettled.add(dispatch);
+    if (!dispatch.sent && dispatch.out) {
+      dispatch.end(Outcome.NEVER_SENT);
+    }
   }
 
   // ---- the one place that turns what is wanted into actions
@@ -732,6 +695,7 @@
       announce(scan);
     }
     decided.clear();
+    long wakeAt = agenda.next();
     if (settings.limits().listOnRequest()) {
       boolean silent = following && !followAnswered && now >= askAt + settings.rules().askEveryUs();
       if (!following && now >= askAt || silent) {
@@ -740,9 +704,13 @@
         followAnswered = false;
         askAt = now;
       }
-      wake(following ? followAnswered ? Long.MAX_VALUE : askAt + settings.rules().askEveryUs() : askAt);
+      wakeAt = Math.min(wakeAt, !following ? askAt
+          : followAnswered ? Long.MAX_VALUE : askAt + settings.rules().askEveryUs());
     }
-    for (Dispatch dispatch : live) {
+    for (Dispatch dispatch : unsettled) {
+      if (!dispatch.out) {
+        continue;
+      }
       if (dispatch.wanted && !dispatch.sent) {
         dispatch.sent = true;
         if (dispatch.anew && dispatch.server.closedAt != now) {
@@ -755,6 +723,7 @@
         actions.add(new Action.Cancel(dispatch.part.id, dispatch.number));
       }
     }
+    unsettled.clear();
     if (wakeAt < armedAt) {
       armedAt = Math.max(wakeAt, now + settings.tickUs());
       actions.add(new Action.SetTimer(armedAt - now, ++timers));
@@ -774,6 +743,7 @@
       scan.step++;
       scan.firstWhole = whole;
       scan.verdict = Verdict.OPEN;
+      agenda.at(scan.limitAt - margin(), scan);
     } else {
       scans.remove(scan.id);
       byNumber.remove(scan.number);
@@ -792,15 +762,4 @@
   private long askLeast() {
     return Math.min(TROUBLE_US, settings.rules().askEveryUs() / 10);
   }
-
-  private static long hash(String text) {
-    CRC32 crc = new CRC32();
-    crc.update(text.getBytes(UTF_8));
-    return crc.getValue();
-  }
-
-  /** A number from 0 to under 1. */
-  private double chance() {
-    return hash(seed + ":" + ++chances) / (double) (1L << 32);
-  }
 }
--- /dev/null
+++ b/src/main/java/tidebank/model/Fleet.java
@@ -0,0 +1,83 @@
+package tidebank.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import tidebank.model.Event.ListKind;
+import tidebank.model.Event.Listed;
+import tidebank.model.Event.ServerStatus;
+
+/** The shard servers as the list last told of them. Servers that left are forgotten once nothing is out there. */
+public final class Fleet {
+  private final Settings.Layout layout;
+  private final Map<String, ShardServer> servers = new HashMap<>();
+  private final Map<Integer, TreeMap<String, ShardServer>> byPosition = new HashMap<>();
+  private final Map<Integer, List<ShardServer>> byShard = new HashMap<>();
+  private final Set<ShardServer> leaving = new LinkedHashSet<>();
+  private int inService;
+
+  public Fleet(Settings.Layout layout) {
+    this.layout = layout;
+  }
+
+  /** How many servers are listed as in service. */
+  public int size() {
+    return inService;
+  }
+
+  /** The server of this id, or null. */
+  public ShardServer get(String id) {
+    return servers.get(id);
+  }
+
+  /** Takes a list, or what changed in it. */
+  public void take(Event.ListSeen list) {
+    if (list.kind() != ListKind.CHANGES) {
+      new TreeMap<>(servers).values().forEach(srv -> place(srv, srv.position, false));
+    }
+    for (Listed line : list.entries()) {
+      ShardServer srv = servers.computeIfAbsent(line.server(), ShardServer::new);
+      srv.size = line.rating();
+      place(srv, line.position(), line.status() == ServerStatus.IN_SERVICE);
+    }
+    leaving.removeIf(srv -> srv.inService || srv.out.isEmpty() && servers.remove(srv.id) != null);
+  }
+
+  private void place(ShardServer srv, int position, boolean serves) {
+    if (srv.inService && (!serves || srv.position != position)) {
+      byPosition.get(srv.position).remove(srv.id);
+      inService--;
+      byShard.clear();
+      srv.inService = false;
+    }
+    srv.position = position;
+    if (serves && !srv.inService) {
+      byPosition.computeIfAbsent(position, absent -> new TreeMap<>()).put(srv.id, srv);
+      inService++;
+      byShard.clear();
+      srv.inService = true;
+    } else if (!serves) {
+      leaving.add(srv);
+    }
+  }
+
+  /** The servers in service that hold a shard. */
+  public List<ShardServer> holders(int shard) {
+    return byShard.computeIfAbsent(shard, this::find);
+  }
+
+  private List<ShardServer> find(int shard) {
+    List<ShardServer> holders = new ArrayList<>();
+    for (int j = 0; j < layout.width() && j < layout.positions(); j++) {
+      TreeMap<String, ShardServer> there = byPosition.get((shard + j) % layout.positions());
+      if (there != null) {
+        holders.addAll(there.values());
+      }
+    }
+    return holders;
+  }
+}
--- a/src/main/java/tidebank/model/Scan.java
+++ b/src/main/java/tidebank/model/Scan.java
@@ -25,6 +25,8 @@
   public long targetAt;
   public int step;
   public boolean selected;
+  /** When it is to be looked at again at the latest. */
+  public long wakeAt = Long.MAX_VALUE;
   /** Dispatches whose connection dropped while they were out. */
   public int broken;
   public boolean firstWhole;
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -1,16 +1,14 @@
 package tidebank.model;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 
 /** State that lives as long as an instance knows a shard server. */
 public final class ShardServer {
   public final String id;
   public int position;
-  /** As the list rates it, 1 at least. */
-  public double size = 1;
+  /** As the list rates it. */
+  public double size;
   public boolean inService;
   public long startedAt;
   /** When we were told of that start, and by what share of a window we wait before the first part. */
@@ -22,14 +20,14 @@
   public int callFill;
   public final List<Dispatch> out = new ArrayList<>();
   /** When parts were sent while the server counted as cold. */
-  public final Deque<Long> coldSends = new ArrayDeque<>();
+  public final Window coldSends = new Window();
   /** Parts answered since a moment. */
   public long countFrom;
   public int counted;
   /** Log-likelihood ratio of the sequential test; above its bound the server is held to be sick. */
   public double doubt;
-  /** How many of our parts it may hold as a home before a part goes elsewhere. */
-  public double spill;
+  /** By how many parts less than its start its overflow figure as a home has become. */
+  public double spillCut;
   public boolean sick;
   public boolean down;
   public long trialAt;
@@ -40,8 +38,7 @@
   public long toldAt = Long.MIN_VALUE / 2;
   public long strainedAt = Long.MIN_VALUE / 2;
 
-  public ShardServer(String id, double spill) {
+  public ShardServer(String id) {
     this.id = id;
-    this.spill = spill;
   }
 }
