--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -32,6 +32,7 @@
   private static final double OUT_LONG = 1.4;
   private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
+  private static final double STRAIN_START = 0.75;
   private static final double STRAIN_FAST = 1.0 / 6;
   private static final double IDLE_LEARN = 1.0 / 16;
   private static final double IDLE_BAD = 0.1;
@@ -84,7 +85,7 @@
   /** The most parts that one server was seen to answer within the time that a cold one takes to fall. */
   private double carried;
   /** The share of our latest dispatches that were overdue or refused, whatever the servers. */
-  private double strain = OVERLOADED_SHARE * HALF;
+  private double strain = OVERLOADED_SHARE * STRAIN_START;
   private long calls;
   private long now;
   private long armedAt = Long.MAX_VALUE;
@@ -245,7 +246,7 @@
         recentAt = now;
         if (!dispatch.overdue) {
           service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
-          tell(srv, tookUs >= dispatch.part.scan.type.targetUs() * HALF);
+          tell(srv, waiting() && tookUs >= dispatch.part.scan.type.targetUs() * HALF);
           shard.capPerReplica += 1.0 / Math.max(1, fleet.holders(dispatch.part.shard).size());
           if (now - srv.countFrom >= settings.rules().tipAfterUs()) {
             srv.countFrom = now;
@@ -286,7 +287,7 @@
       if (dispatch.idle && reaped()) {
         return;
       }
-      tell(dispatch.server, true);
+      tell(dispatch.server, waiting());
       doubt(dispatch.server, DOUBT_BAD);
       if (overload()) {
         halve(shard(dispatch.part.shard));
@@ -338,7 +339,7 @@
   }
 
   private boolean overload() {
-    return strain >= OVERLOADED_SHARE && waiting();
+    return strain >= OVERLOADED_SHARE;
   }
 
   /** Whether the answers that come have waited: a queue makes all answers slow, silence only some missing. */
@@ -393,7 +394,7 @@
     }
     int most = ranked.size();
     // T falls from all parts to none as strain grows; it starts at half of them.
-    int top = (int) Math.ceil(most * (waiting() ? Math.min(1, Math.max(0, 2 - 2 * strain / OVERLOADED_SHARE)) : 1));
+    int top = (int) Math.ceil(most * Math.min(1, Math.max(0, 2 - 2 * strain / OVERLOADED_SHARE)));
     double weight = 0;
     for (int rank = 0; rank < most; rank++) {
       Part part = ranked.get(rank);
