--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -33,7 +33,7 @@
   private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
   private static final double STRAIN_START = 0.75;
-  private static final double STRAIN_FAST = 1.0 / 6;
+  private static final double STRAIN_FAST = 1.0 / 12;
   private static final double IDLE_LEARN = 1.0 / 16;
   private static final double IDLE_BAD = 0.1;
   private static final double IDLE_TRIAL = 1.0 / 32;
