--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -17,7 +17,6 @@
   private static final double CAP_START = 8;
   private static final double SPILL_START = 4;
   private static final double SPILL_LEAST = 1;
-  private static final double SPILL_GAIN = 1.0 / 16;
   private static final double SLOW = 2;
   private static final double CALL_MORE = 0.5;
   private static final double IDLE = 0.1;
@@ -34,11 +33,9 @@
   private static final double TYPICAL_START = 0.1;
   private static final double STRAIN_START = 0.75;
   private static final double STRAIN_FAST = 1.0 / 12;
-  private static final double IDLE_LEARN = 1.0 / 16;
-  private static final double IDLE_BAD = 0.1;
-  private static final double IDLE_TRIAL = 1.0 / 32;
   private static final double LOW = 0.2;
   private static final double LEARN = 1.0 / 32;
+  private static final double LEARN_FAST = 1.0 / 16;
   // The sequential test: the share of bad ends of a sound and of a sick server, and the error it may make.
   private static final double BAD_SOUND = 0.05;
   private static final double BAD_SICK = 0.5;
@@ -82,8 +79,6 @@
   private double busyLoss;
   /** What a quick answer takes, one that hardly waited. */
   private double service;
-  /** The most parts that one server was seen to answer within the time that a cold one takes to fall. */
-  private double carried;
   /** The share of our latest dispatches that were overdue or refused, whatever the servers. */
   private double strain = OVERLOADED_SHARE * STRAIN_START;
   private long calls;
@@ -201,9 +196,6 @@
     }
     Dispatch dispatch = part.dispatches.get(ended.dispatch());
     dispatch.end(ended.outcome());
-    if (ended.outcome() == Outcome.COMPLETED || ended.outcome() == Outcome.ERROR) {
-      dispatch.server.heardAt = now;
-    }
     agenda.changed(part.scan);
     judge(dispatch, ended.tookUs());
     boolean open = part.scan.verdict == Verdict.OPEN;
@@ -237,6 +229,7 @@
     srv.spillCut = SPILL_START - spilled(SPILL_START - srv.spillCut, quick, SPILL_LEAST);
     switch (dispatch.outcome) {
       case COMPLETED -> {
+        srv.heardAt = now;
         if (srv.down) {
           srv.down = false;
           started(srv, now);
@@ -248,11 +241,6 @@
           service += (tookUs < service ? -1 : LOW / (1 - LOW)) * service * LEARN;
           tell(srv, waiting() && tookUs >= dispatch.part.scan.type.targetUs() * HALF);
           shard.capPerReplica += 1.0 / Math.max(1, fleet.holders(dispatch.part.shard).size());
-          if (now - srv.countFrom >= settings.rules().tipAfterUs()) {
-            srv.countFrom = now;
-            srv.counted = 0;
-          }
-          carried = Math.max(carried, ++srv.counted);
           srv.doubt = srv.sick ? DOUBT_BOUND * HALF : Math.max(0, srv.doubt + DOUBT_GOOD);
           srv.sick = false;
           srv.trialWait = 0;
@@ -277,7 +265,7 @@
   }
 
   private static double spilled(double spill, boolean quick, double least) {
-    return quick ? Math.min(SPILL_START, spill + SPILL_GAIN) : Math.max(least, spill * HALF);
+    return quick ? Math.min(SPILL_START, spill + LEARN_FAST) : Math.max(least, spill * HALF);
   }
 
   private void overdue(Dispatch dispatch) {
@@ -296,14 +284,12 @@
   }
 
   private void learnIdle(Dispatch dispatch, int bad) {
+    // While answers wait, a part out for long tells of the queue.
     if (bad > 0 && waiting() && dispatch.outcome != Outcome.UNREACHABLE) {
       return;
     }
-    if (dispatch.idle) {
-      idleLoss += (bad - idleLoss) * IDLE_LEARN;
-    } else {
-      busyLoss += (bad - busyLoss) * IDLE_LEARN;
-    }
+    idleLoss += dispatch.idle ? (bad - idleLoss) * LEARN_FAST : 0;
+    busyLoss += dispatch.idle ? 0 : (bad - busyLoss) * LEARN_FAST;
   }
 
   /**
@@ -311,7 +297,7 @@
    * dropped unseen. They are closed before use then, and silence on one tells nothing of its server.
    */
   private boolean reaped() {
-    return idleLoss >= IDLE_BAD && idleLoss >= SLOW * busyLoss;
+    return idleLoss >= SLOW * BAD_SOUND && idleLoss >= SLOW * busyLoss;
   }
 
   private void halve(Shard shard) {
@@ -355,16 +341,15 @@
         continue;
       }
       scan.parts.forEach(part -> part.dispatches.forEach(this::watch));
-      boolean overload = overload();
-      if (!scan.selected && !scouting(scan, overload)) {
-        select(scan, overload);
+      if (!scan.selected) {
+        scan.parts.sort(Comparator.comparingDouble((Part p) -> -p.weight).thenComparingInt(p -> p.shard));
       }
-      for (Part part : scan.selected ? scan.parts : scan.parts.subList(0, Math.min(1, scan.parts.size()))) {
-        if (scan.verdict == Verdict.OPEN) {
-          pursue(part, overload);
-        }
+      if (!scan.selected && !scouting(scan)) {
+        select(scan);
       }
       if (scan.verdict == Verdict.OPEN) {
+        List<Part> going = scan.selected ? scan.parts : scan.parts.subList(0, 1);
+        going.forEach(part -> pursue(part));
         conclude(scan);
       }
     }
@@ -379,12 +364,9 @@
   }
 
   /** The design: the ranked parts that pass their threshold go, the others stay unsent. */
-  private void select(Scan scan, boolean overload) {
+  private void select(Scan scan) {
     scan.selected = true;
-    List<Part> ranked = new ArrayList<>(scan.parts);
-    ranked.sort(Comparator.comparingDouble((Part p) -> -p.weight).thenComparingInt(p -> p.shard));
-    scan.parts.clear();
-    scan.parts.addAll(ranked);
+    List<Part> ranked = scan.parts;
     if (ranked.isEmpty() || scan.limitAt - now <= margin()) {
       giveUp(scan);
       return;
@@ -401,34 +383,33 @@
       // Exception: what the floor needs counts as top, as an answer from less may not be given.
       top = weight < scan.type.floor() ? Math.max(top, rank + 1) : top;
       weight += part.weight;
-      double cap = cap(part.shard);
+      List<ShardServer> holders = fleet.holders(part.shard);
+      double cap = shard(part.shard).capPerReplica * holders.size();
       double fall = rank < top ? 0 : (rank - top + 1.0) / (most - top);
       double threshold = cap * (1 - fall * (1 - IDLE));
-      double load = load(part.shard);
-      if (part.stage == Stage.HELD && (rank < top ? load > cap : overload || load >= threshold)) {
+      double load = holders.stream().mapToInt(srv -> srv.out.size()).sum();
+      if (part.stage == Stage.HELD && (rank < top ? load > cap : overload() || load >= threshold)) {
         part.stage = Stage.UNSENT;
       } else if (part.stage == Stage.HELD) {
-        first(part, overload);
+        first(part);
       }
     }
   }
 
   /**
-   * Exception: the heaviest part of a scan goes first and alone, the others once it is in, or is out for long.
+   * Exception: while connections broke of late with parts out, a scan's heaviest part goes first and alone, the
+   * others once it is in, or out for twice the typical time. A scan that brings its servers down reaches one of
+   * them so, not all. Costs sound scans the scout's time; not while overload is seen.
    */
-  private boolean scouting(Scan scan, boolean overload) {
-    if (breaks.count(now, SCOUT_TARGETS * shortestTarget) < FATAL || overload || scan.parts.size() < 2 || scan.limitAt - now <= margin() || scan.step > 0) {
-      return false;
-    }
-    scan.parts.sort(Comparator.comparingDouble((Part p) -> -p.weight).thenComparingInt(p -> p.shard));
-    Part scout = scan.parts.get(0);
-    if (scout.stage == Stage.IN) {
+  private boolean scouting(Scan scan) {
+    int broken = breaks.count(now, SCOUT_TARGETS * shortestTarget);
+    Part scout = scan.parts.size() < 2 ? null : scan.parts.get(0);
+    if (broken < FATAL || overload() || scout == null || scan.step > 0 || scan.limitAt - now <= margin()
+        || scout.stage == Stage.IN) {
       return false;
     }
-    if (scout.dispatches.isEmpty()) {
-      return true;
-    }
-    long until = scout.dispatches.get(0).sentAt + Math.round(Math.min(patience(scan), SLOW * typical));
+    long sentAt = scout.dispatches.isEmpty() ? now : scout.dispatches.get(0).sentAt;
+    long until = sentAt + Math.round(Math.min(patience(scan), SLOW * typical));
     agenda.at(until, scan);
     return scan.broken > 0 || now < until;
   }
@@ -442,33 +423,23 @@
     return shards.computeIfAbsent(number, absent -> new Shard(CAP_START));
   }
 
-  private double cap(int shard) {
-    return shard(shard).capPerReplica * fleet.holders(shard).size();
-  }
-
-  private int load(int shard) {
-    return fleet.holders(shard).stream().mapToInt(srv -> srv.out.size()).sum();
-  }
-
   /** First and further dispatches of a part that is still wanted. */
-  private void pursue(Part part, boolean overload) {
+  private void pursue(Part part) {
     if (part.stage == Stage.HELD) {
-      first(part, overload);
+      first(part);
     } else if (part.stage == Stage.SENT && part.dispatches.stream().allMatch(d -> !d.out || d.overdue)) {
       if (!furtherEver(part)) {
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
-      } else if (!overload && budgetLeft()) {
+      } else if (!overload() && budgetLeft()) {
         ShardServer srv = place(part);
-        // A copy is worth its work only off a sick server, or where a part has been out for much longer than
-        // is usual.
+        // A copy is worth its work only off a sick server, or where a part is out for much longer than usual.
         long longAgo = now - Math.round(patience(part.scan) * OUT_LONG);
         boolean sick = part.dispatches.stream().allMatch(
             d -> !d.out || d.server.sick || d.sentAt <= longAgo || d.idle && reaped());
         if (srv != null && (part.out() == 0 || settings.limits().secondCopies() && sick)) {
           send(part, srv);
         } else if (srv != null && !srv.sick) {
-          // One dispatch out at a time: it is called back from a sick server first, and sent on when it has
-          // ended.
+          // One dispatch out at a time: it is called back from a sick server, and sent on once ended.
           part.dispatches.stream().filter(d -> d.server.sick).forEach(this::unwant);
         }
       }
@@ -476,8 +447,8 @@
     }
   }
 
-  private void first(Part part, boolean overload) {
-    boolean late = now >= part.scan.targetAt && (overload || part.scan.type.lateBenefit() <= 0);
+  private void first(Part part) {
+    boolean late = now >= part.scan.targetAt && (overload() || part.scan.type.lateBenefit() <= 0);
     if (fleet.holders(part.shard).isEmpty() || late) {
       part.stage = Stage.LOST;
       return;
@@ -561,10 +532,10 @@
   }
 
   /**
-   * Rule 4. A warm server is taken to carry what one core can, more by its told size, or the most that one was
-   * seen to answer us in a window; a cold one the cold share of that, rising evenly. Ours is one part of as many as there are
-   * gatherers, over any window, and the window stretches where that is under one part. Gatherers are told of a
-   * start together, so that each begins such a window at a moment of its own; else all would send at once.
+   * Rule 4. A warm server is taken to carry what one core can, or as many as its told size; a cold one the
+   * cold share of that, rising evenly. Ours is one part of as many as there are gatherers, over any window,
+   * which stretches where that is under one part. Gatherers are told of a start together, so that each begins
+   * such a window at a moment of its own; else all would send at once.
    */
   private boolean coldRoom(ShardServer srv) {
     Settings.Rules rules = settings.rules();
@@ -574,7 +545,7 @@
     }
     double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
     double unit = Math.max(service, shortestTarget * TYPICAL_START) + settings.layout().callUs();
-    double warm = Math.max(carried, Math.max(1, srv.size) * rules.tipAfterUs() / unit);
+    double warm = Math.max(1, srv.size) * rules.tipAfterUs() / unit;
     double budget = Math.max(SUM_SLACK, capacity * rules.fallMultiple() * warm / settings.instances());
     long window = Math.round(rules.tipAfterUs() / Math.min(1, budget));
     boolean begun = budget >= 1 || now - srv.coldToldAt >= srv.coldPhase * window;
@@ -598,7 +569,7 @@
     Dispatch dispatch = new Dispatch(part, part.dispatches.size(), srv, now, srv.call);
     dispatch.dueAt = now + patience(scan);
     dispatch.idle = srv.heardAt > 0 && now - srv.heardAt >= shortestTarget * HALF;
-    if (dispatch.idle && reaped() && (scan.type.repeat() != Repeat.REPLAYABLE || chance.next() >= IDLE_TRIAL)) {
+    if (dispatch.idle && reaped() && (scan.type.repeat() != Repeat.REPLAYABLE || chance.next() >= LEARN)) {
       dispatch.idle = false;
       dispatch.anew = true;
     }
@@ -714,8 +685,7 @@
       }
       if (dispatch.wanted && !dispatch.sent) {
         dispatch.sent = true;
-        if (dispatch.anew && dispatch.server.closedAt != now) {
-          dispatch.server.closedAt = now;
+        if (dispatch.anew) {
           actions.add(new Action.Close(dispatch.server.id));
         }
         actions.add(new Action.Send(dispatch.part.id, dispatch.server.id, dispatch.stopAt));
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -21,9 +21,6 @@
   public final List<Dispatch> out = new ArrayList<>();
   /** When parts were sent while the server counted as cold. */
   public final Window coldSends = new Window();
-  /** Parts answered since a moment. */
-  public long countFrom;
-  public int counted;
   /** Log-likelihood ratio of the sequential test; above its bound the server is held to be sick. */
   public double doubt;
   /** By how many parts less than its start its overflow figure as a home has become. */
@@ -32,9 +29,8 @@
   public boolean down;
   public long trialAt;
   public long trialWait;
-  /** When it last answered us, and when we last closed our idle connections to it. */
+  /** When it last answered us. */
   public long heardAt;
-  public long closedAt;
   public long toldAt = Long.MIN_VALUE / 2;
   public long strainedAt = Long.MIN_VALUE / 2;
 
