--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -257,8 +257,10 @@
       case ERROR -> doubt(srv, DOUBT_BAD);
       case BROKEN, UNREACHABLE -> {
         learnIdle(dispatch, 1);
-        srv.down = true;
-        doubt(srv, DOUBT_BOUND);
+        if (!dispatch.idle || !reaped()) {
+          srv.down = true;
+          doubt(srv, DOUBT_BOUND);
+        }
       }
       default -> { }
     }
@@ -371,7 +373,8 @@
       giveUp(scan);
       return;
     }
-    if (scan.type.floor() >= scan.type.need() || ranked.stream().noneMatch(this::troubled)) {
+    if (scan.type.floor() >= scan.type.need() || ranked.stream().map(p -> shard(p.shard))
+        .noneMatch(shard -> shard.capPerReplica < CAP_START || now - shard.troubledAt < TROUBLE_US)) {
       return;
     }
     int most = ranked.size();
@@ -397,9 +400,9 @@
   }
 
   /**
-   * Exception: while connections broke of late with parts out, a scan's heaviest part goes first and alone, the
-   * others once it is in, or out for twice the typical time. A scan that brings its servers down reaches one of
-   * them so, not all. Costs sound scans the scout's time; not while overload is seen.
+   * Exception: while connections broke of late with parts out, a scan's heaviest part goes first and alone,
+   * the others once it is in, or out for twice the typical time. A scan that brings its servers down reaches
+   * one of them so, not all. Costs sound scans the scout's time; not while overload is seen.
    */
   private boolean scouting(Scan scan) {
     int broken = breaks.count(now, SCOUT_TARGETS * shortestTarget);
@@ -414,11 +417,6 @@
     return scan.broken > 0 || now < until;
   }
 
-  private boolean troubled(Part part) {
-    Shard shard = shard(part.shard);
-    return shard.capPerReplica < CAP_START || now - shard.troubledAt < TROUBLE_US;
-  }
-
   private Shard shard(int number) {
     return shards.computeIfAbsent(number, absent -> new Shard(CAP_START));
   }
@@ -476,14 +474,11 @@
         .allMatch(d -> d.sentAt > windowEnd);
   }
 
-  /** A tick longer than the rule's span, to stay on its safe side. */
-  private long furtherSpan() {
-    return settings.rules().ratioSpanUs() + settings.tickUs();
-  }
 
+  /** Rule 6, a tick longer than its span to stay on the safe side. */
   private boolean budgetLeft() {
     Settings.Rules rules = settings.rules();
-    return rules.ratioSpanUs() <= 0 || further.count(now, furtherSpan()) + 1
+    return rules.ratioSpanUs() <= 0 || further.count(now, rules.ratioSpanUs() + settings.tickUs()) + 1
         <= rules.freeResends() + rules.extraRatio() * taken.count(now, rules.ratioSpanUs());
   }
 
@@ -580,7 +575,7 @@
     dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt
         : late || now >= scan.targetAt ? scan.limitAt : scan.targetAt;
     if (dispatch.number > 0) {
-      further.add(now, furtherSpan());
+      further.add(now, settings.rules().ratioSpanUs() + settings.tickUs());
     }
     srv.coldSends.add(now, settings.rules().coldUs());
     srv.out.add(dispatch);
