--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -61,8 +61,8 @@
   private final Map<String, Part> parts = new HashMap<>();
   private final List<Scan> decided = new ArrayList<>();
   private final List<Dispatch> unsettled = new ArrayList<>();
-  /** By table type, the shortest time that a client's first try has left. */
-  private final Map<String, Long> spans = new HashMap<>();
+  /** When scans were first asked for, by table type and key. */
+  private final Map<String, Long> asked = new LinkedHashMap<>();
   private final Window taken = new Window();
   private final Window breaks = new Window();
   private final Window further = new Window();
@@ -169,23 +169,21 @@
     TableType type = settings.tableTypes().getOrDefault(event.type(),
         new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 0, 1, 1, 0));
     Scan scan = new Scan(event.id(), event.number(), type, event.account(), event.limitAt(), event.resent());
-    scan.targetAt = Math.min(firstAsked(scan) + type.targetUs(), scan.limitAt);
+    scan.targetAt = Math.min(firstAsked(scan, event.key()) + type.targetUs(), scan.limitAt);
     scans.put(scan.id, scan);
     byNumber.put(scan.number, scan);
     agenda.changed(scan);
     taken.add(now, settings.rules().ratioSpanUs());
   }
 
-  /**
-   * A client's new try counts from its first: one cut shorter than any fresh try ends with the query timeout.
-   */
-  private long firstAsked(Scan scan) {
-    long left = scan.limitAt - now;
-    if (!scan.resent) {
-      spans.merge(scan.type.name(), left, Math::min);
+  /** A client's new try counts from its first, where that came here too and its key tells so. */
+  private long firstAsked(Scan scan, String key) {
+    asked.values().removeIf(at -> at <= now - scan.type.timeoutUs());
+    String what = scan.type.name() + ' ' + key;
+    if (!scan.resent || key.isEmpty()) {
+      asked.remove(what);
     }
-    boolean cut = scan.resent && left < spans.getOrDefault(scan.type.name(), 0L) - margin();
-    return cut ? scan.limitAt - scan.type.timeoutUs() : now;
+    return asked.computeIfAbsent(what, absent -> now);
   }
 
   private void takeEnd(Event.DispatchEnded ended) {
--- a/src/main/java/tidebank/model/Event.java
+++ b/src/main/java/tidebank/model/Event.java
@@ -25,7 +25,8 @@
   record ListSeen(ListKind kind, List<Listed> entries) implements Event {}
 
   /** A scan to be given one final answer before {@code limitAt}. */
-  record ScanTaken(String id, long number, String type, String account, long limitAt, boolean resent)
+  record ScanTaken(
+      String id, long number, String type, String account, long limitAt, boolean resent, String key)
       implements Event {}
 
   /** A part of the scan with this number. */
--- a/src/main/java/tidebank/sim/EventCodec.java
+++ b/src/main/java/tidebank/sim/EventCodec.java
@@ -81,7 +81,8 @@
         Json.text(message, "lane"),
         Json.text(message, "account", ""),
         Json.micros(message, "notAfterMs"),
-        Json.flag(message, "resent"));
+        Json.flag(message, "resent"),
+        Json.text(message, "subject", ""));
   }
 
   private static Outcome outcome(String disposition) throws WireFault {
--- a/src/test/java/tidebank/FakeHost.java
+++ b/src/test/java/tidebank/FakeHost.java
@@ -77,7 +77,7 @@
 
   List<Action> scanWithin(long leftMs, String id, String type, double... weights) {
     long number = ++numbers;
-    told.add(new Event.ScanTaken(id, number, type, "anyone", (nowMs + leftMs) * MS, false));
+    told.add(new Event.ScanTaken(id, number, type, "anyone", (nowMs + leftMs) * MS, false, id));
     for (int shard = 0; shard < weights.length; shard++) {
       told.add(new Event.PartTaken(id + shard, number, shard, weights[shard], ""));
     }
