--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -233,6 +233,7 @@
           started(srv, now);
         }
         typical += (tookUs - typical) * LEARN;
+        srv.kind.typical += srv.kind.typical > 0 ? (tookUs - srv.kind.typical) * LEARN * HALF : typical;
         recent += (tookUs - recent) * Math.max(LEARN, 1 - Math.exp((recentAt - now) / (double) EVIDENCE_US));
         recentAt = now;
         if (!dispatch.overdue) {
@@ -489,7 +490,9 @@
       }
     }
     String salt = (part.key.isEmpty() ? part.scan.id : part.key) + '/' + part.shard + '/';
-    open.sort(Comparator.comparingLong((ShardServer srv) -> -Chance.hash(salt + srv.id)));
+    // The home is hashed, and the likelier a server the quicker its kind is seen to answer.
+    open.sort(Comparator.comparingDouble((ShardServer srv) ->
+        -Math.log(Chance.share(salt + srv.id)) * Math.max(1, srv.kind.typical)));
     if (open.isEmpty()) {
       return null;
     }
@@ -505,7 +508,8 @@
     if (pick.get(0) == home && held(home) <= Math.min(spill, SPILL_START - home.spillCut)) {
       return home;
     }
-    return pick.stream().min(Comparator.comparingDouble(this::held)).orElseThrow();
+    return pick.stream().min(Comparator.comparingDouble(srv -> (1 + held(srv)) * Math.max(1, srv.kind.typical)))
+        .orElseThrow();
   }
 
   /**
--- a/src/main/java/tidebank/model/Chance.java
+++ b/src/main/java/tidebank/model/Chance.java
@@ -15,12 +15,13 @@
 
   /** A number from 0 to under 1. */
   public double next() {
-    return hash(seed + ":" + ++asked) / (double) (1L << 32);
+    return share(seed + ":" + ++asked);
   }
 
-  public static long hash(String text) {
+  /** A number from 0 to under 1 that the text decides. */
+  public static double share(String text) {
     CRC32 crc = new CRC32();
     crc.update(text.getBytes(UTF_8));
-    return crc.getValue();
+    return crc.getValue() / (double) (1L << 32);
   }
 }
--- a/src/main/java/tidebank/sim/EventCodec.java
+++ b/src/main/java/tidebank/sim/EventCodec.java
@@ -44,7 +44,8 @@
           (int) Json.whole(entry, "slotNo"),
           status(Json.text(entry, "status")),
           Json.micros(entry, "lastStartMs", 0),
-          Json.number(entry, "rating", 1)));
+          Json.number(entry, "rating", 1),
+          Json.text(entry, "flavor", "")));
     }
     return entries;
   }
