--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -28,7 +28,6 @@
   private static final double PATIENCE_MOST = 0.6;
   /** What a second step needs of the target time. */
   private static final double STEP_RESERVE = 0.35;
-  private static final double OUT_LONG = 1.4;
   private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
   private static final double STRAIN_START = 0.75;
@@ -424,15 +423,14 @@
   private void pursue(Part part) {
     if (part.stage == Stage.HELD) {
       first(part);
-    } else if (part.stage == Stage.SENT && part.dispatches.stream().allMatch(d -> !d.out || d.overdue)) {
+    } else if (part.stage == Stage.SENT && part.dispatches.stream().allMatch(d -> !d.out || d.overdue || straggles(d))) {
       if (!furtherEver(part)) {
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
       } else if (!overload() && budgetLeft()) {
         ShardServer srv = place(part);
-        // A copy is worth its work only off a sick server, or where a part is out for much longer than usual.
-        long longAgo = now - Math.round(patience(part.scan) * OUT_LONG);
+        // A copy is worth its work only off a sick server, or for one of the last parts.
         boolean sick = part.dispatches.stream().allMatch(
-            d -> !d.out || d.server.sick || d.sentAt <= longAgo || d.idle && reaped());
+            d -> !d.out || d.server.sick || straggles(d) || d.idle && reaped());
         if (srv != null && (part.out() == 0 || settings.limits().secondCopies() && sick)) {
           send(part, srv);
         } else if (srv != null && !srv.sick) {
@@ -444,6 +442,17 @@
     }
   }
 
+  /** One of the last parts that a scan waits for, out for the least patience. */
+  private boolean straggles(Dispatch dispatch) {
+    Scan scan = dispatch.part.scan;
+    long at = dispatch.sentAt + Math.round(scan.type.targetUs() * PATIENCE_LEAST);
+    if (now < at) {
+      agenda.at(at, scan);
+    }
+    return settings.limits().secondCopies() && now >= at && 2 * scan.left <= scan.parts.size()
+        && scan.left <= Math.max(1, scan.parts.size() * IDLE);
+  }
+
   private void first(Part part) {
     boolean late = now >= part.scan.targetAt && (overload() || part.scan.type.lateBenefit() <= 0);
     if (fleet.holders(part.shard).isEmpty() || late) {
@@ -598,12 +607,14 @@
     double pending = 0;
     boolean all = true;
     boolean none = true;
+    scan.left = 0;
     for (Part part : scan.parts) {
       if (part.step == scan.step) {
         none = false;
         in += part.stage == Stage.IN ? part.weight : 0;
         pending += part.stage == Stage.HELD || part.stage == Stage.SENT ? part.weight : 0;
         all &= part.stage == Stage.IN;
+        scan.left += part.stage == Stage.HELD || part.stage == Stage.SENT ? 1 : 0;
       }
     }
     boolean first = scan.step == 0;
--- a/src/main/java/tidebank/model/Scan.java
+++ b/src/main/java/tidebank/model/Scan.java
@@ -30,6 +30,8 @@
   /** Dispatches whose connection dropped while they were out. */
   public int broken;
   public boolean firstWhole;
+  /** Parts of this step that are still waited for. */
+  public int left = Integer.MAX_VALUE / 2;
   public Verdict verdict = Verdict.OPEN;
 
   public Scan(String id, long number, TableType type, String account, long limitAt, boolean resent) {
