--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -67,6 +67,8 @@
   private final Window further = new Window();
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
+  private final long margin;
+  private final long askLeast;
   private double typical;
   /** How many of our parts a home may hold before a part goes elsewhere. */
   private double spill = SPILL_START;
@@ -91,6 +93,8 @@
 
   public Brain(Settings settings, long seed) {
     this.settings = settings;
+    this.margin = MARGIN_TICKS * settings.tickUs();
+    this.askLeast = Math.min(TROUBLE_US, settings.rules().askEveryUs() / 10);
     this.chance = new Chance(seed);
     this.fleet = new Fleet(settings.layout());
     this.shortestTarget = settings.tableTypes().values().stream()
@@ -98,7 +102,7 @@
     this.typical = shortestTarget * TYPICAL_START;
     this.service = typical;
     this.recent = typical;
-    this.askWait = askLeast();
+    this.askWait = askLeast;
   }
 
   /** Takes what happened and returns what to do. */
@@ -151,7 +155,7 @@
     }
     if (list.kind() != Event.ListKind.REMEMBERED) {
       followAnswered = true;
-      askWait = askLeast();
+      askWait = askLeast;
     }
     fleet.take(list);
     for (Event.Listed line : list.entries()) {
@@ -232,7 +236,6 @@
           started(srv, now);
         }
         typical += (tookUs - typical) * LEARN;
-        srv.kind.typical += srv.kind.typical > 0 ? (tookUs - srv.kind.typical) * LEARN * HALF : typical;
         recent += (tookUs - recent) * Math.max(LEARN, 1 - Math.exp((recentAt - now) / (double) EVIDENCE_US));
         recentAt = now;
         if (!dispatch.overdue) {
@@ -272,24 +275,22 @@
     if (!dispatch.overdue) {
       dispatch.overdue = true;
       learnIdle(dispatch, 1);
-      if (dispatch.idle && reaped()) {
-        return;
-      }
-      tell(dispatch.server, waiting());
-      doubt(dispatch.server, DOUBT_BAD);
-      if (overload()) {
-        halve(shard(dispatch.part.shard));
+      if (!dispatch.idle || !reaped()) {
+        tell(dispatch.server, waiting());
+        doubt(dispatch.server, DOUBT_BAD);
+        if (overload()) {
+          halve(shard(dispatch.part.shard));
+        }
       }
     }
   }
 
   private void learnIdle(Dispatch dispatch, int bad) {
     // While answers wait, a part out for long tells of the queue.
-    if (bad > 0 && waiting() && dispatch.outcome != Outcome.UNREACHABLE) {
-      return;
+    if (bad == 0 || !waiting() || dispatch.outcome == Outcome.UNREACHABLE) {
+      idleLoss += dispatch.idle ? (bad - idleLoss) * LEARN_FAST : 0;
+      busyLoss += dispatch.idle ? 0 : (bad - busyLoss) * LEARN_FAST;
     }
-    idleLoss += dispatch.idle ? (bad - idleLoss) * LEARN_FAST : 0;
-    busyLoss += dispatch.idle ? 0 : (bad - busyLoss) * LEARN_FAST;
   }
 
   /**
@@ -367,7 +368,7 @@
   private void select(Scan scan) {
     scan.selected = true;
     List<Part> ranked = scan.parts;
-    if (ranked.isEmpty() || scan.limitAt - now <= margin()) {
+    if (ranked.isEmpty() || scan.limitAt - now <= margin) {
       giveUp(scan);
       return;
     }
@@ -405,7 +406,7 @@
   private boolean scouting(Scan scan) {
     int broken = breaks.count(now, SCOUT_TARGETS * shortestTarget);
     Part scout = scan.parts.size() < 2 ? null : scan.parts.get(0);
-    if (broken < FATAL || overload() || scout == null || scan.step > 0 || scan.limitAt - now <= margin()
+    if (broken < FATAL || overload() || scout == null || scan.step > 0 || scan.limitAt - now <= margin
         || scout.stage == Stage.IN) {
       return false;
     }
@@ -423,7 +424,8 @@
   private void pursue(Part part) {
     if (part.stage == Stage.HELD) {
       first(part);
-    } else if (part.stage == Stage.SENT && part.dispatches.stream().allMatch(d -> !d.out || d.overdue || straggles(d))) {
+    } else if (part.stage == Stage.SENT
+        && part.dispatches.stream().allMatch(d -> !d.out || d.overdue || straggles(d))) {
       if (!furtherEver(part)) {
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
       } else if (!overload() && budgetLeft()) {
@@ -499,9 +501,7 @@
       }
     }
     String salt = (part.key.isEmpty() ? part.scan.id : part.key) + '/' + part.shard + '/';
-    // The home is hashed, and the likelier a server the quicker its kind is seen to answer.
-    open.sort(Comparator.comparingDouble((ShardServer srv) ->
-        -Math.log(Chance.share(salt + srv.id)) * Math.max(1, srv.kind.typical)));
+    open.sort(Comparator.comparingDouble((ShardServer srv) -> -Chance.share(salt + srv.id)));
     if (open.isEmpty()) {
       return null;
     }
@@ -517,8 +517,7 @@
     if (pick.get(0) == home && held(home) <= Math.min(spill, SPILL_START - home.spillCut)) {
       return home;
     }
-    return pick.stream().min(Comparator.comparingDouble(srv -> (1 + held(srv)) * Math.max(1, srv.kind.typical)))
-        .orElseThrow();
+    return pick.stream().min(Comparator.comparingDouble(this::held)).orElseThrow();
   }
 
   /**
@@ -621,19 +620,17 @@
     double floor = type.floor() < type.need() ? type.floor() : first ? type.need() : 1;
     boolean whole = first ? in >= type.need() - SUM_SLACK : all && scan.firstWhole;
     boolean enough = in >= floor - SUM_SLACK;
-    long answerAt = scan.targetAt - (moreSteps(scan) ? Math.round(type.targetUs() * STEP_RESERVE) : margin());
-    long endAt = scan.limitAt - margin();
+    long answerAt = scan.targetAt - (scan.moreSteps() ? Math.round(type.targetUs() * STEP_RESERVE) : margin);
+    long endAt = scan.limitAt - margin;
     // Dispatches that broke and none in: the scan itself may bring its servers down.
-    boolean fatal = scan.broken >= FATAL && scan.parts.stream().noneMatch(p -> p.stage == Stage.IN);
-    if (fatal) {
-      giveUp(scan);
-    } else if (none && now < endAt) {
+    boolean fatal = scan.broken >= FATAL && first && in <= 0;
+    if (none && now < endAt) {
       agenda.at(endAt, scan);
     } else if (whole && !none) {
       close(scan, Verdict.ANSWER_WHOLE);
     } else if (enough && (pending <= 0 || all || now >= answerAt || now >= endAt)) {
       close(scan, Verdict.ANSWER_IN_PART);
-    } else if (in + pending < floor - SUM_SLACK || now >= endAt
+    } else if (fatal || in + pending < floor - SUM_SLACK || now >= endAt
         || type.lateBenefit() <= 0 && now >= scan.targetAt) {
       giveUp(scan);
     } else {
@@ -718,27 +715,15 @@
       case ABANDON -> actions.add(new Action.Abandon(scan.id));
       default -> { }
     }
-    if ((whole || scan.verdict == Verdict.ANSWER_IN_PART) && moreSteps(scan)) {
+    if ((whole || scan.verdict == Verdict.ANSWER_IN_PART) && scan.moreSteps()) {
       scan.step++;
       scan.firstWhole = whole;
       scan.verdict = Verdict.OPEN;
-      agenda.at(scan.limitAt - margin(), scan);
+      agenda.at(scan.limitAt - margin, scan);
     } else {
       scans.remove(scan.id);
       byNumber.remove(scan.number);
       scan.parts.forEach(this::forget);
     }
   }
-
-  private static boolean moreSteps(Scan scan) {
-    return scan.step == 0 && scan.type.secondStep() > 0;
-  }
-
-  private long margin() {
-    return MARGIN_TICKS * settings.tickUs();
-  }
-
-  private long askLeast() {
-    return Math.min(TROUBLE_US, settings.rules().askEveryUs() / 10);
-  }
 }
--- a/src/main/java/tidebank/model/Event.java
+++ b/src/main/java/tidebank/model/Event.java
@@ -19,8 +19,7 @@
   }
 
   /** One line of the list of shard servers; {@code startedAt} is 0 where the start is long past. */
-  record Listed(
-      String server, int position, ServerStatus status, long startedAt, double rating, String kind) {}
+  record Listed(String server, int position, ServerStatus status, long startedAt, double rating) {}
 
   /** The list of shard servers, or what changed in it. */
   record ListSeen(ListKind kind, List<Listed> entries) implements Event {}
--- a/src/main/java/tidebank/model/Fleet.java
+++ b/src/main/java/tidebank/model/Fleet.java
@@ -17,7 +17,6 @@
   private final Map<String, ShardServer> servers = new HashMap<>();
   private final Map<Integer, TreeMap<String, ShardServer>> byPosition = new HashMap<>();
   private final Map<Integer, List<ShardServer>> byShard = new HashMap<>();
-  private final Map<String, Kind> kinds = new HashMap<>();
   private final Set<ShardServer> leaving = new LinkedHashSet<>();
   private int inService;
 
@@ -43,7 +42,6 @@
     for (Listed line : list.entries()) {
       ShardServer srv = servers.computeIfAbsent(line.server(), ShardServer::new);
       srv.size = line.rating();
-      srv.kind = kinds.computeIfAbsent(line.kind(), absent -> new Kind());
       place(srv, line.position(), line.status() == ServerStatus.IN_SERVICE);
     }
     leaving.removeIf(srv -> srv.inService || srv.out.isEmpty() && servers.remove(srv.id) != null);
--- a/src/main/java/tidebank/model/Scan.java
+++ b/src/main/java/tidebank/model/Scan.java
@@ -34,6 +34,11 @@
   public int left = Integer.MAX_VALUE / 2;
   public Verdict verdict = Verdict.OPEN;
 
+  /** Whether a first answer brings further parts. */
+  public boolean moreSteps() {
+    return step == 0 && type.secondStep() > 0;
+  }
+
   public Scan(String id, long number, TableType type, String account, long limitAt, boolean resent) {
     this.id = id;
     this.number = number;
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -9,7 +9,6 @@
   public int position;
   /** As the list rates it. */
   public double size;
-  public Kind kind;
   public boolean inService;
   public long startedAt;
   /** When we were told of that start, and by what share of a window we wait before the first part. */
--- a/src/main/java/tidebank/sim/EventCodec.java
+++ b/src/main/java/tidebank/sim/EventCodec.java
@@ -44,8 +44,7 @@
           (int) Json.whole(entry, "slotNo"),
           status(Json.text(entry, "status")),
           Json.micros(entry, "lastStartMs", 0),
-          Json.number(entry, "rating", 1),
-          Json.text(entry, "flavor", "")));
+          Json.number(entry, "rating", 1)));
     }
     return entries;
   }
--- a/src/test/java/tidebank/FakeHost.java
+++ b/src/test/java/tidebank/FakeHost.java
@@ -63,7 +63,7 @@
   }
 
   static Listed line(String server, int position, ServerStatus status, long startedMs) {
-    return new Listed(server, position, status, startedMs * MS, 1, server.substring(0, 1));
+    return new Listed(server, position, status, startedMs * MS, 1);
   }
 
   List<Action> list(ListKind kind, Listed... lines) {
