--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -447,12 +447,8 @@
   // One of the last parts that a scan waits for, out for the least patience.
   private boolean straggles(Dispatch dispatch) {
     Scan scan = dispatch.part.scan;
-    long at = dispatch.sentAt + Math.round(scan.type.targetUs() * PATIENCE_LEAST);
-    if (now < at) {
-      agenda.at(at, scan);
-    }
-    return now >= at && settings.limits().secondCopies()
-        && scan.left <= Math.max(1, scan.parts.size() * IDLE);
+    return settings.limits().secondCopies() && scan.left <= Math.max(1, scan.parts.size() * IDLE)
+        && now - dispatch.sentAt >= Math.round(scan.type.targetUs() * PATIENCE_LEAST);
   }
 
   private void first(Part part) {
@@ -590,7 +586,7 @@
     srv.coldSends.add(now, settings.rules().coldUs());
     srv.out.add(dispatch);
     unsettled.add(dispatch);
-    agenda.at(dispatch.dueAt, scan);
+    agenda.at(now + Math.round(scan.type.targetUs() * PATIENCE_LEAST), scan);
   }
 
   private long patience(Scan scan) {
