--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -28,6 +28,7 @@
   private static final double PATIENCE_MOST = 0.6;
   /** What a second step needs of the target time. */
   private static final double STEP_RESERVE = 0.35;
+  private static final double OUT_LONG = 1.4;
   private static final double PATIENCE_TYPICAL = 5;
   private static final double TYPICAL_START = 0.1;
   private static final double STRAIN_START = 0.75;
@@ -430,9 +431,10 @@
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
       } else if (!overload() && budgetLeft()) {
         ShardServer srv = place(part);
-        // A copy is worth its work only off a sick server, or for one of the last parts.
+        // A copy is worth its work only off a sick server, for one of the last parts, or out for very long.
+        long longAgo = now - Math.round(patience(part.scan) * OUT_LONG);
         boolean sick = part.dispatches.stream().allMatch(
-            d -> !d.out || d.server.sick || straggles(d) || d.idle && reaped());
+            d -> !d.out || d.server.sick || d.sentAt <= longAgo || straggles(d) || d.idle && reaped());
         if (srv != null && (part.out() == 0 || settings.limits().secondCopies() && sick)) {
           send(part, srv);
         } else if (srv != null && !srv.sick) {
