--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -259,6 +259,7 @@
       case ERROR -> doubt(srv, DOUBT_BAD);
       case BROKEN, UNREACHABLE -> {
         learnIdle(dispatch, 1);
+        idleLoss *= dispatch.outcome == Outcome.UNREACHABLE ? HALF : 1;
         if (!dispatch.idle || !reaped()) {
           srv.down = true;
           doubt(srv, DOUBT_BOUND);
@@ -588,7 +589,7 @@
     srv.coldSends.add(now, settings.rules().coldUs());
     srv.out.add(dispatch);
     unsettled.add(dispatch);
-    agenda.at(now + Math.round(scan.type.targetUs() * PATIENCE_LEAST), scan);
+    agenda.at(dispatch.dueAt, scan);
   }
 
   private long patience(Scan scan) {
