--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -13,7 +13,6 @@
  * wake-ups), {@link #settle} alone emits the difference.
  */
 public final class Brain {
-  // The design's figures.
   private static final double CAP_START = 8;
   private static final double SPILL_START = 4;
   private static final double SPILL_LEAST = 1;
@@ -450,8 +449,10 @@
   // One of the last parts that a scan waits for, out for the least patience.
   private boolean straggles(Dispatch dispatch) {
     Scan scan = dispatch.part.scan;
-    return settings.limits().secondCopies() && scan.left <= Math.max(1, scan.parts.size() * IDLE)
-        && now - dispatch.sentAt >= Math.round(scan.type.targetUs() * PATIENCE_LEAST);
+    long at = dispatch.sentAt + Math.round(scan.type.targetUs() * PATIENCE_LEAST);
+    agenda.at(now < at ? at : Long.MAX_VALUE, scan);
+    return now >= at && settings.limits().secondCopies()
+        && scan.left <= Math.max(1, scan.parts.size() * IDLE);
   }
 
   private void first(Part part) {
@@ -580,9 +581,8 @@
     part.dispatches.add(dispatch);
     // Where it could not be called back, a dispatch has to end by itself before the next may go.
     boolean one = !settings.limits().secondCopies() && !settings.limits().cancel() && furtherEver(part);
-    boolean late = scan.type.lateBenefit() > 0;
     dispatch.stopAt = one && dispatch.dueAt < scan.targetAt ? dispatch.dueAt
-        : late || now >= scan.targetAt ? scan.limitAt : scan.targetAt;
+        : scan.type.lateBenefit() > 0 || now >= scan.targetAt ? scan.limitAt : scan.targetAt;
     if (dispatch.number > 0) {
       further.add(now, settings.rules().ratioSpanUs() + settings.tickUs());
     }
