--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -69,13 +69,13 @@
   private final long shortestTarget;
   private final long margin;
   private final long askLeast;
-  private double typical;
   /** How many of our parts a home may hold before a part goes elsewhere. */
   private double spill = SPILL_START;
+  private double typical;
   /** The same, but forgetting with time as well. */
   private double recent;
   private long recentAt;
-  /** Shares of parts that became overdue on connections without and with recent use. */
+  /** Evidence of silence on connections without and with recent use: it grows with each, up to 1. */
   private double idleLoss;
   private double busyLoss;
   /** What a quick answer takes, one that hardly waited. */
@@ -171,8 +171,8 @@
     long left = event.limitAt() - now;
     TableType type = settings.tableTypes().getOrDefault(event.type(),
         new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 0, 1, 1, 0));
-    Scan scan = new Scan(event.id(), event.number(), type, event.account(), event.limitAt(), event.resent());
-    scan.targetAt = Math.min(firstAsked(scan, event.key()) + type.targetUs(), scan.limitAt);
+    Scan scan = new Scan(event.id(), event.number(), type, event.limitAt());
+    scan.targetAt = Math.min(firstAsked(event, type) + type.targetUs(), scan.limitAt);
     scans.put(scan.id, scan);
     byNumber.put(scan.number, scan);
     agenda.changed(scan);
@@ -180,10 +180,10 @@
   }
 
   /** A client's new try counts from its first, where that came here too and its key tells so. */
-  private long firstAsked(Scan scan, String key) {
-    asked.values().removeIf(at -> at <= now - scan.type.timeoutUs());
-    String what = scan.type.name() + ' ' + key;
-    if (!scan.resent || key.isEmpty()) {
+  private long firstAsked(Event.ScanTaken event, TableType type) {
+    asked.values().removeIf(at -> at <= now - type.timeoutUs());
+    String what = type.name() + ' ' + event.key();
+    if (!event.resent() || event.key().isEmpty()) {
       asked.remove(what);
     }
     return asked.computeIfAbsent(what, absent -> now);
@@ -227,7 +227,7 @@
     // The overflow figure of a home starts at the page's and follows how its answers come.
     boolean quick = dispatch.outcome == Outcome.COMPLETED && tookUs <= SLOW * typical;
     spill = spilled(spill, quick, 0);
-    srv.spillCut = SPILL_START - spilled(SPILL_START - srv.spillCut, quick, SPILL_LEAST);
+    srv.spill = spilled(Math.min(SPILL_START, srv.spill), quick, SPILL_LEAST);
     switch (dispatch.outcome) {
       case COMPLETED -> {
         srv.heardAt = now;
@@ -257,9 +257,9 @@
       }
       case ERROR -> doubt(srv, DOUBT_BAD);
       case BROKEN, UNREACHABLE -> {
-        learnIdle(dispatch, 1);
+        learnSilence(dispatch);
         idleLoss *= dispatch.outcome == Outcome.UNREACHABLE ? HALF : 1;
-        if (!dispatch.idle || !reaped()) {
+        if (!reaped(dispatch)) {
           srv.down = true;
           doubt(srv, DOUBT_BOUND);
         }
@@ -275,8 +275,8 @@
   private void overdue(Dispatch dispatch) {
     if (!dispatch.overdue) {
       dispatch.overdue = true;
-      learnIdle(dispatch, 1);
-      if (!dispatch.idle || !reaped()) {
+      learnSilence(dispatch);
+      if (!reaped(dispatch)) {
         tell(dispatch.server, waiting());
         doubt(dispatch.server, DOUBT_BAD);
         if (overload()) {
@@ -286,20 +286,20 @@
     }
   }
 
-  private void learnIdle(Dispatch dispatch, int bad) {
-    // While answers wait, a part out for long tells of the queue.
-    if (bad == 0 || !waiting() || dispatch.outcome == Outcome.UNREACHABLE) {
-      idleLoss += dispatch.idle ? (bad - idleLoss) * LEARN_FAST : 0;
-      busyLoss += dispatch.idle ? 0 : (bad - busyLoss) * LEARN_FAST;
+  /** While answers wait, a part out for long tells of the queue; a failed connection never does. */
+  private void learnSilence(Dispatch dispatch) {
+    if (!waiting() || dispatch.outcome == Outcome.UNREACHABLE) {
+      idleLoss += dispatch.idle ? (1 - idleLoss) * LEARN_FAST : 0;
+      busyLoss += dispatch.idle ? 0 : (1 - busyLoss) * LEARN_FAST;
     }
   }
 
   /**
-   * Whether parts sent on connections without recent use stay out far more often than others: connections are
-   * dropped unseen. They are closed before use then, and silence on one tells nothing of its server.
+   * Whether a dispatch may be out on a connection dropped unseen: one without recent use, while silence on
+   * such outweighs silence on others. They are closed before use then; silence tells nothing of the server.
    */
-  private boolean reaped() {
-    return idleLoss >= SLOW * BAD_SOUND && idleLoss >= SLOW * busyLoss;
+  private boolean reaped(Dispatch dispatch) {
+    return dispatch.idle && idleLoss >= SLOW * BAD_SOUND && idleLoss >= SLOW * busyLoss;
   }
 
   private void halve(Shard shard) {
@@ -434,7 +434,7 @@
         // A copy is worth its work only off a sick server, for one of the last parts, or out for very long.
         long longAgo = now - Math.round(patience(part.scan) * OUT_LONG);
         boolean sick = part.dispatches.stream().allMatch(
-            d -> !d.out || d.server.sick || d.sentAt <= longAgo || straggles(d) || d.idle && reaped());
+            d -> !d.out || d.server.sick || d.sentAt <= longAgo || straggles(d) || reaped(d));
         if (srv != null && (part.out() == 0 || settings.limits().secondCopies() && sick)) {
           send(part, srv);
         } else if (srv != null && !srv.sick) {
@@ -446,7 +446,7 @@
     }
   }
 
-  // One of the last parts that a scan waits for, out for the least patience.
+  /** One of the last parts that a scan waits for, out for the least patience. */
   private boolean straggles(Dispatch dispatch) {
     Scan scan = dispatch.part.scan;
     long at = dispatch.sentAt + Math.round(scan.type.targetUs() * PATIENCE_LEAST);
@@ -484,7 +484,6 @@
         .allMatch(d -> d.sentAt > windowEnd);
   }
 
-
   /** Rule 6, a tick longer than its span to stay on the safe side. */
   private boolean budgetLeft() {
     Settings.Rules rules = settings.rules();
@@ -514,7 +513,7 @@
         .filter(srv -> part.dispatches.stream().noneMatch(d -> d.server == srv)).toList();
     List<ShardServer> sound = (fresh.isEmpty() ? open : fresh).stream().filter(srv -> !srv.sick).toList();
     List<ShardServer> pick = !sound.isEmpty() ? sound : fresh.isEmpty() ? open : fresh;
-    if (pick.get(0) == home && held(home) <= Math.min(spill, SPILL_START - home.spillCut)) {
+    if (pick.get(0) == home && held(home) <= Math.min(spill, home.spill)) {
       return home;
     }
     return pick.stream().min(Comparator.comparingDouble(this::held)).orElseThrow();
@@ -574,7 +573,7 @@
     Dispatch dispatch = new Dispatch(part, part.dispatches.size(), srv, now, srv.call);
     dispatch.dueAt = now + patience(scan);
     dispatch.idle = srv.heardAt > 0 && now - srv.heardAt >= shortestTarget * HALF;
-    if (dispatch.idle && reaped() && (scan.type.repeat() != Repeat.REPLAYABLE || chance.next() >= LEARN)) {
+    if (reaped(dispatch) && (scan.type.repeat() != Repeat.REPLAYABLE || chance.next() >= LEARN)) {
       dispatch.idle = false;
       dispatch.anew = true;
     }
--- a/src/main/java/tidebank/model/Scan.java
+++ b/src/main/java/tidebank/model/Scan.java
@@ -18,9 +18,7 @@
   public final String id;
   public final long number;
   public final TableType type;
-  public final String account;
   public final long limitAt;
-  public final boolean resent;
   public final List<Part> parts = new ArrayList<>();
   public long targetAt;
   public int step;
@@ -39,12 +37,10 @@
     return step == 0 && type.secondStep() > 0;
   }
 
-  public Scan(String id, long number, TableType type, String account, long limitAt, boolean resent) {
+  public Scan(String id, long number, TableType type, long limitAt) {
     this.id = id;
     this.number = number;
     this.type = type;
-    this.account = account;
     this.limitAt = limitAt;
-    this.resent = resent;
   }
 }
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -19,12 +19,12 @@
   public long call;
   public int callFill;
   public final List<Dispatch> out = new ArrayList<>();
-  /** When parts were sent while the server counted as cold. */
+  /** When parts were sent, as far back as a cold server's guard looks. */
   public final Window coldSends = new Window();
   /** Log-likelihood ratio of the sequential test; above its bound the server is held to be sick. */
   public double doubt;
-  /** By how many parts less than its start its overflow figure as a home has become. */
-  public double spillCut;
+  /** How many of our parts it may hold as a home before a part goes elsewhere; no bound before its first end. */
+  public double spill = Double.POSITIVE_INFINITY;
   public boolean sick;
   public boolean down;
   public long trialAt;
--- a/src/test/java/tidebank/FakeHost.java
+++ b/src/test/java/tidebank/FakeHost.java
@@ -19,7 +19,6 @@
   static final long MS = 1000;
 
   final Map<String, TableType> types = new LinkedHashMap<>();
-  final Map<String, Double> allowances = new LinkedHashMap<>();
   final List<Action> all = new ArrayList<>();
   final Map<String, Integer> tries = new LinkedHashMap<>();
   Settings.Layout layout = new Settings.Layout(4, 4, 2, 1, 0);
@@ -53,7 +52,7 @@
 
   /** Starts the instance with a list of sound servers s0, s1, ... one at each position. */
   FakeHost start() {
-    brain = new Brain(new Settings(instances, 5 * MS, types, allowances, 0.1, layout, limits, rules), seed);
+    brain = new Brain(new Settings(instances, 5 * MS, types, Map.of(), 0.1, layout, limits, rules), seed);
     List<Listed> lines = new ArrayList<>();
     for (int i = 0; i < layout.positions(); i++) {
       lines.add(line("s" + i, i, ServerStatus.IN_SERVICE, 0));
