--- /dev/null
+++ b/src/main/java/tidebank/base/Counters.java
@@ -0,0 +1,41 @@
+package tidebank.base;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/** Named counts of one gatherer, of what is odd as well as of what is usual. They belong to its event loop. */
+public final class Counters {
+  private final Map<String, long[]> counts = new TreeMap<>();
+
+  /** Counts one; returns how many there are now. */
+  public long add(String name) {
+    return ++counts.computeIfAbsent(name, absent -> new long[1])[0];
+  }
+
+  public long get(String name) {
+    long[] count = counts.get(name);
+    return count == null ? 0 : count[0];
+  }
+
+  /** Counts a fault of a kind; only the first of its kind is worth a line. */
+  public void fault(String kind, String text) {
+    if (add(kind) == 1) {
+      Log.warn(kind + ": " + text + " (later ones are only counted)");
+    }
+  }
+
+  /** What must hold: asserted where assertions are on, counted elsewhere. */
+  public void must(boolean holds, String what) {
+    assert holds : what;
+    if (!holds) {
+      fault("invariant." + what.replace(' ', '-'), what);
+    }
+  }
+
+  @Override
+  public String toString() {
+    return counts.entrySet().stream().map(entry -> entry.getKey() + "=" + entry.getValue()[0])
+        .collect(Collectors.joining(" "));
+  }
+}
--- a/src/main/java/tidebank/sim/Json.java
+++ b/src/main/java/tidebank/config/Json.java
@@ -1,79 +1,79 @@
-package tidebank.sim;
+package tidebank.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** Reads fields of the wire's objects; an absent field and a null are the same. */
-final class Json {
+public final class Json {
   private static final double US_PER_MS = 1000.0;
 
   private Json() {}
 
-  static JsonNode need(JsonNode node, String field) throws WireFault {
+  public static JsonNode need(JsonNode node, String field) throws Malformed {
     JsonNode value = node.get(field);
     if (value == null || value.isNull()) {
-      throw new WireFault("field '" + field + "' is missing in " + brief(node));
+      throw new Malformed("field '" + field + "' is missing in " + brief(node));
     }
     return value;
   }
 
-  static String text(JsonNode node, String field) throws WireFault {
+  public static String text(JsonNode node, String field) throws Malformed {
     JsonNode value = need(node, field);
     if (!value.isTextual()) {
-      throw new WireFault("field '" + field + "' is no text in " + brief(node));
+      throw new Malformed("field '" + field + "' is no text in " + brief(node));
     }
     return value.textValue();
   }
 
-  static String text(JsonNode node, String field, String absent) {
+  public static String text(JsonNode node, String field, String absent) {
     JsonNode value = node.get(field);
     return value == null || !value.isTextual() ? absent : value.textValue();
   }
 
-  static double number(JsonNode node, String field) throws WireFault {
+  public static double number(JsonNode node, String field) throws Malformed {
     JsonNode value = need(node, field);
     if (!value.isNumber()) {
-      throw new WireFault("field '" + field + "' is no number in " + brief(node));
+      throw new Malformed("field '" + field + "' is no number in " + brief(node));
     }
     return value.doubleValue();
   }
 
-  static double number(JsonNode node, String field, double absent) {
+  public static double number(JsonNode node, String field, double absent) {
     JsonNode value = node.get(field);
     return value == null || !value.isNumber() ? absent : value.doubleValue();
   }
 
-  static long whole(JsonNode node, String field) throws WireFault {
+  public static long whole(JsonNode node, String field) throws Malformed {
     return (long) number(node, field);
   }
 
-  static int whole(JsonNode node, String field, int absent) {
+  public static int whole(JsonNode node, String field, int absent) {
     return (int) number(node, field, absent);
   }
 
-  static boolean flag(JsonNode node, String field) {
+  public static boolean flag(JsonNode node, String field) {
     JsonNode value = node.get(field);
     return value != null && value.asBoolean();
   }
 
-  static long micros(double ms) {
+  public static long micros(double ms) {
     return Math.round(ms * US_PER_MS);
   }
 
-  static long micros(JsonNode node, String field) throws WireFault {
+  public static long micros(JsonNode node, String field) throws Malformed {
     return micros(number(node, field));
   }
 
-  static long micros(JsonNode node, String field, double absentMs) {
+  public static long micros(JsonNode node, String field, double absentMs) {
     return micros(number(node, field, absentMs));
   }
 
-  static double millis(long micros) {
+  public static double millis(long micros) {
     return micros / US_PER_MS;
   }
 
-  static Map<String, Double> numbers(JsonNode node) {
+  public static Map<String, Double> numbers(JsonNode node) {
     Map<String, Double> values = new LinkedHashMap<>();
     if (node != null && node.isObject()) {
       node.fields().forEachRemaining(field -> {
--- /dev/null
+++ b/src/main/java/tidebank/config/NodeConfig.java
@@ -0,0 +1,177 @@
+package tidebank.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import tidebank.model.Settings;
+
+/**
+ * All that a gatherer is started with. {@code known} is the list of shard servers as it last had it, in
+ * discovery's form, or null.
+ */
+public record NodeConfig(
+    String name,
+    InetSocketAddress listen,
+    InetSocketAddress discovery,
+    long seed,
+    Budgets budgets,
+    Transport transport,
+    JsonNode known,
+    Settings settings) {
+  private static final int SOCKETS_DEFAULT = 1024;
+  private static final int SOCKETS_LEAST = 128;
+  private static final long SECOND_US = 1_000_000;
+  /** PROTOCOL: a body holds no more than this. */
+  private static final int BODY_MOST = 64 * 1024;
+
+  /**
+   * How the descriptors are shared out. Past {@code clients} a further connection is answered with a plain
+   * refusal and closed; past {@code clientsMost} none is accepted until one has gone.
+   */
+  public record Budgets(int clients, int clientsMost, int servers, int serverMost) {
+    /** An eighth stays with the virtual machine, an eighth with refusals, a quarter with shard servers. */
+    static Budgets of(int sockets) {
+      int eighth = sockets / 8;
+      return new Budgets(4 * eighth, 5 * eighth, 2 * eighth, Math.max(1, eighth / 8));
+    }
+  }
+
+  /** Figures of the sockets, from the settings or from the pages. */
+  public record Transport(
+      long connectTimeoutUs,
+      long keepaliveUs,
+      int maxStreams,
+      boolean probeForLoad,
+      int bodyMost,
+      long listWaitUs,
+      long listGraceUs,
+      long listTimeoutUs,
+      long stragglersUs) {
+    static Transport of(JsonNode settings, Settings read) throws Malformed {
+      JsonNode limits = settings.path("limits");
+      long wait = Math.min(read.rules().askEveryUs(), 60 * SECOND_US);
+      return new Transport(
+          Math.max(1000, Json.micros(limits, "connectTimeoutMs", 250)),
+          Json.micros(limits, "keepaliveMs", 15_000),
+          Math.max(1, Json.whole(limits, "maxStreams", 100)),
+          Json.text(settings.path("report"), "how", "off").equals("on_probe"),
+          BODY_MOST,
+          wait,
+          2 * SECOND_US,
+          6 * SECOND_US,
+          7 * SECOND_US / 10);
+    }
+  }
+
+  /** Reads the environment and the file that NODE_CONFIG names; a variable goes before the file. */
+  public static NodeConfig read(Map<String, String> env) throws Malformed {
+    String path = env.getOrDefault("NODE_CONFIG", "");
+    if (path.isEmpty()) {
+      throw wrong("NODE_CONFIG", "nothing", "the path of a JSON file");
+    }
+    JsonNode file = file(path);
+    JsonNode settingsNode = object(file, "settings");
+    Settings settings;
+    Transport transport;
+    try {
+      settings = SettingsReader.read(settingsNode);
+      transport = Transport.of(settingsNode, settings);
+    } catch (Malformed fault) {
+      throw new Malformed("settings: " + fault.getMessage());
+    }
+    if (settings.tableTypes().isEmpty()) {
+      throw wrong("settings.services", "none", "a list of table types");
+    }
+    if (settings.layout().shards() < 1 || settings.layout().positions() < 1 || settings.layout().width() < 1) {
+      throw wrong("settings.specifics", String.valueOf(settings.layout()), "slices, positions and width from 1");
+    }
+    JsonNode known = file.path("known");
+    return new NodeConfig(
+        text(env, "NODE_NAME", file, "name"),
+        address("NODE_LISTEN or listen", text(env, "NODE_LISTEN", file, "listen")),
+        address("NODE_DISCOVERY or discovery", text(env, "NODE_DISCOVERY", file, "discovery")),
+        seed(file.path("seed")),
+        Budgets.of(sockets(file.path("limits").path("sockets"))),
+        transport,
+        known.isObject() ? known : null,
+        settings);
+  }
+
+  private static JsonNode file(String path) throws Malformed {
+    try {
+      JsonNode file = new ObjectMapper().readTree(Files.readAllBytes(Path.of(path)));
+      if (file == null || !file.isObject()) {
+        throw wrong("NODE_CONFIG", path, "a file that holds a JSON object");
+      }
+      return file;
+    } catch (JsonProcessingException fault) {
+      throw wrong("NODE_CONFIG", path + ": " + fault.getOriginalMessage(), "a file that holds a JSON object");
+    } catch (IOException | RuntimeException fault) {
+      if (fault instanceof Malformed malformed) {
+        throw malformed;
+      }
+      throw wrong("NODE_CONFIG", path, "a file that can be read");
+    }
+  }
+
+  private static JsonNode object(JsonNode file, String key) throws Malformed {
+    JsonNode value = file.path(key);
+    if (!value.isObject()) {
+      throw wrong(key, value.isMissingNode() ? "nothing" : value.toString(), "an object");
+    }
+    return value;
+  }
+
+  private static String text(Map<String, String> env, String variable, JsonNode file, String key)
+      throws Malformed {
+    String value = env.getOrDefault(variable, "");
+    value = value.isEmpty() ? file.path(key).asText("") : value;
+    if (value.isEmpty()) {
+      throw wrong(variable + " or " + key, "nothing", "a text");
+    }
+    return value;
+  }
+
+  /** An address HOST:PORT with a numeric host: there is no DNS. */
+  public static InetSocketAddress address(String key, String value) throws Malformed {
+    int colon = value.lastIndexOf(':');
+    String host = colon < 0 ? "" : value.substring(0, colon);
+    try {
+      int port = Integer.parseInt(value.substring(colon + 1));
+      if (NetUtil.isValidIpV4Address(host) && port >= 0 && port <= 65_535) {
+        return new InetSocketAddress(NetUtil.createInetAddressFromIpAddressString(host), port);
+      }
+    } catch (NumberFormatException fault) {
+      // Falls through to the message below.
+    }
+    throw wrong(key, value, "an address such as 127.0.0.1:3000");
+  }
+
+  private static long seed(JsonNode value) throws Malformed {
+    try {
+      return Long.parseUnsignedLong(value.asText(""), 16);
+    } catch (NumberFormatException fault) {
+      throw wrong("seed", value.isMissingNode() ? "nothing" : value.toString(), "16 hex digits");
+    }
+  }
+
+  private static int sockets(JsonNode value) throws Malformed {
+    if (value.isMissingNode()) {
+      return SOCKETS_DEFAULT;
+    }
+    if (!value.canConvertToInt() || value.intValue() < SOCKETS_LEAST) {
+      throw wrong("limits.sockets", value.toString(), "a whole number from " + SOCKETS_LEAST);
+    }
+    return value.intValue();
+  }
+
+  private static Malformed wrong(String key, String found, String wanted) {
+    return new Malformed(key + ": found " + found + ", wanted " + wanted);
+  }
+}
--- a/src/main/java/tidebank/sim/SettingsCodec.java
+++ b/src/main/java/tidebank/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package tidebank.sim;
+package tidebank.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
@@ -9,12 +9,12 @@
 import tidebank.model.TableType;
 
 /** Reads an instance's settings. A figure that is absent becomes the one that permits or promises nothing. */
-final class SettingsCodec {
+public final class SettingsReader {
   private static final double MS_NEVER = 1e12;
 
-  private SettingsCodec() {}
+  private SettingsReader() {}
 
-  static Settings read(JsonNode config) throws WireFault {
+  public static Settings read(JsonNode config) throws Malformed {
     JsonNode limits = table(config, "limits");
     JsonNode rules = table(config, "guarantees");
     JsonNode layout = table(config, "specifics");
@@ -65,7 +65,7 @@
             Json.micros(rules, "ratioSpanMs", 0)));
   }
 
-  private static TableType tableType(JsonNode service, JsonNode layout, int row) throws WireFault {
+  private static TableType tableType(JsonNode service, JsonNode layout, int row) throws Malformed {
     return new TableType(
         Json.text(service, "name"),
         repeat(Json.text(service, "semantics", "")),
--- /dev/null
+++ b/src/main/java/tidebank/discovery/DiscoverySide.java
@@ -0,0 +1,220 @@
+package tidebank.discovery;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+import tidebank.base.Counters;
+import tidebank.base.Log;
+import tidebank.config.NodeConfig;
+import tidebank.discovery.ListReader.Members;
+import tidebank.model.Event.ListKind;
+import tidebank.node.Alarms;
+import tidebank.node.Clock;
+import tidebank.node.ListPort;
+import tidebank.node.Turn;
+
+/**
+ * Watches discovery on one connection: the whole list first, then calls that wait for changes, each renewed at once.
+ * Any call that fails, in whatever way, ends the watch and is told; when to begin again is not decided here.
+ */
+public final class DiscoverySide implements ListPort {
+  private static final String PATH = "/registry/instances";
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final NodeConfig.Transport transport;
+  private final InetSocketAddress address;
+  private final Bootstrap template;
+  private final Turn turn;
+  private final Clock clock;
+  private final Alarms alarms;
+  private final Counters counters;
+  private final Alarms.Alarm late = new LateAlarm();
+  private Link link;
+  private boolean following;
+  /** The version that the watch has come to; below 0: none yet. */
+  private long version;
+
+  public DiscoverySide(NodeConfig config, Bootstrap template, Turn turn, Clock clock, Alarms alarms,
+      Counters counters) {
+    this.transport = config.transport();
+    this.address = config.discovery();
+    this.template = template;
+    this.turn = turn;
+    this.clock = clock;
+    this.alarms = alarms;
+    this.counters = counters;
+  }
+
+  @Override
+  public void follow(boolean on) {
+    close();
+    following = on;
+    version = -1;
+    if (on) {
+      call();
+    }
+  }
+
+  /** Ends the watch without a word. */
+  public void close() {
+    following = false;
+    alarms.clear(late);
+    Link old = link;
+    link = null;
+    if (old != null && old.channel != null) {
+      old.channel.close();
+    }
+  }
+
+  private void call() {
+    boolean watch = version >= 0;
+    alarms.set(late, clock.now()
+        + (watch ? transport.listWaitUs() + transport.listGraceUs() : transport.listTimeoutUs()));
+    String path = !watch ? PATH : PATH + "?after=" + version + "&wait_ms=" + transport.listWaitUs() / 1000;
+    if (link == null) {
+      link = new Link(path);
+      link.connect();
+    } else {
+      link.ask(path);
+    }
+  }
+
+  private void lost(String why) {
+    if (following) {
+      counters.add("list.calls-failed");
+      Log.info("the watch on discovery is lost: " + why);
+      close();
+      turn.listSeen(ListKind.LOST, List.of());
+    }
+  }
+
+  private void answered(FullHttpResponse response) throws IOException {
+    if (response.status().code() != 200) {
+      lost("status " + response.status().code());
+      return;
+    }
+    Members list;
+    try (InputStream in = new ByteBufInputStream(response.content())) {
+      list = ListReader.read(mapper.readTree(in));
+    } catch (IOException fault) {
+      counters.fault("list.malformed", fault.getMessage());
+      lost("a list that can't be read");
+      return;
+    }
+    if (!list.whole() && list.version() < version) {
+      lost("changes of version " + list.version() + " after " + version);
+      return;
+    }
+    if (!list.whole() && version < 0) {
+      lost("changes where the whole list was asked for");
+      return;
+    }
+    boolean first = version < 0;
+    version = list.version();
+    if (first || list.whole() || !list.members().isEmpty()) {
+      turn.listSeen(list.whole() ? ListKind.FULL : ListKind.CHANGES, list.members());
+    }
+    if (!HttpUtil.isKeepAlive(response)) {
+      Link old = link;
+      link = null;
+      old.channel.close();
+    }
+    call();
+  }
+
+  /** The connection to discovery; it has one call out at a time. */
+  private final class Link extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private String path;
+    private Channel channel;
+
+    Link(String path) {
+      this.path = path;
+    }
+
+    void connect() {
+      ChannelFuture connecting = template.clone().handler(new ChannelInitializer<Channel>() {
+        @Override
+        protected void initChannel(Channel fresh) {
+          fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(16 * transport.bodyMost()),
+              Link.this);
+        }
+      }).connect(address);
+      channel = connecting.channel();
+      connecting.addListener((ChannelFutureListener) done -> {
+        if (!done.isSuccess()) {
+          failed(String.valueOf(done.cause().getMessage()));
+        }
+      });
+    }
+
+    void ask(String next) {
+      path = next;
+      DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+          HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+      request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ':' + address.getPort());
+      channel.writeAndFlush(request, channel.voidPromise());
+    }
+
+    private void failed(String why) {
+      if (link == this) {
+        lost(why);
+      }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+      if (link == this) {
+        ask(path);
+      }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) throws IOException {
+      if (link != this) {
+        return;
+      }
+      if (response.decoderResult().isFailure()) {
+        failed("an answer that is no HTTP");
+      } else {
+        answered(response);
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      failed("the connection ended");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      failed(String.valueOf(cause.getMessage()));
+      context.close();
+    }
+  }
+
+  private final class LateAlarm extends Alarms.Alarm {
+    @Override
+    protected void ring() {
+      lost("no answer in time");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/discovery/package-info.java
@@ -0,0 +1,2 @@
+/** The list of shard servers: fetched once, then watched. */
+package tidebank.discovery;
--- /dev/null
+++ b/src/main/java/tidebank/front/ClientConnection.java
@@ -0,0 +1,206 @@
+package tidebank.front;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import tidebank.front.ScanReader.Rejected;
+import tidebank.node.Alarms;
+import tidebank.node.ScanRequest;
+
+/** One client's connection. Requests that come before earlier ones are answered are answered in their order. */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+  private static final int PIPELINE_MOST = 16;
+
+  private final ClientSide side;
+  private final boolean surplus;
+  private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
+  private final Alarms.Alarm slow = new SlowAlarm();
+  private Channel channel;
+  private long headAt;
+  private boolean ending;
+
+  ClientConnection(ClientSide side, boolean surplus) {
+    this.side = side;
+    this.surplus = surplus;
+  }
+
+  ByteBufAllocator allocator() {
+    return channel.alloc();
+  }
+
+  /** Whether the connection ends with its next response. */
+  boolean closing() {
+    return surplus || ending || side.draining();
+  }
+
+  boolean isIdle() {
+    return exchanges.isEmpty() && headAt == 0;
+  }
+
+  void close() {
+    channel.close();
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    channel = context.channel();
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    if (surplus) {
+      side.alarms.set(slow, side.clock.now() + side.slowestUs);
+    }
+  }
+
+  /** The first bytes of a request are here: from now on its time runs. */
+  void begun() {
+    if (headAt == 0) {
+      headAt = side.clock.now();
+      side.alarms.set(slow, headAt + side.slowestUs);
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      if (!ending && message instanceof FullHttpRequest request) {
+        begun();
+        side.alarms.clear(slow);
+        long at = headAt;
+        headAt = 0;
+        took(request, at);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void took(FullHttpRequest request, long at) {
+    Exchange exchange = new Exchange(this, HttpUtil.isKeepAlive(request));
+    exchanges.add(exchange);
+    if (request.decoderResult().isFailure()) {
+      ending = true;
+      side.counters.add("front.malformed");
+      exchange.respond(HttpResponseStatus.BAD_REQUEST, "no valid HTTP");
+      return;
+    }
+    String path = request.uri().split("[?]", 2)[0];
+    if (path.startsWith("/health/")) {
+      health(exchange, path);
+    } else if (!request.method().equals(HttpMethod.POST)) {
+      exchange.respond(HttpResponseStatus.METHOD_NOT_ALLOWED, "scans come by POST");
+    } else if (surplus) {
+      side.counters.add("front.refused-connections");
+      exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections");
+    } else {
+      scan(exchange, request, path, at);
+    }
+    if (exchanges.size() >= PIPELINE_MOST) {
+      channel.config().setAutoRead(false);
+    }
+  }
+
+  private void health(Exchange exchange, String path) {
+    if (path.equals("/health/live") || path.equals("/health/ready") && side.ready()) {
+      exchange.respond(HttpResponseStatus.OK, "ok");
+    } else if (path.equals("/health/ready")) {
+      exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
+    } else {
+      exchange.respond(HttpResponseStatus.NOT_FOUND, "unknown path");
+    }
+  }
+
+  private void scan(Exchange exchange, FullHttpRequest request, String path, long at) {
+    ScanRequest scan;
+    try {
+      scan = side.reader.read(request, path.substring(1).split("/", 2)[0], at);
+    } catch (Rejected fault) {
+      side.counters.add("front.rejected");
+      exchange.respond(HttpResponseStatus.valueOf(fault.status), fault.getMessage());
+      return;
+    }
+    if (side.turn.holds(scan.id())) {
+      side.counters.add("front.rejected");
+      exchange.respond(HttpResponseStatus.BAD_REQUEST, "X-Correlation-Id is in use");
+    } else if (side.turn.scanTaken(scan, exchange)) {
+      side.counters.add("scans.taken");
+      exchange.scan = scan.id();
+    } else {
+      side.counters.add("front.refused-full");
+      exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, "as much is held as may be");
+    }
+  }
+
+  /** Writes the responses that are there, as far as none before them is still missing. */
+  void flush() {
+    boolean wrote = false;
+    while (!exchanges.isEmpty() && exchanges.peek().response != null) {
+      FullHttpResponse response = exchanges.poll().response;
+      boolean last = response.headers().containsValue(
+          HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+      wrote = true;
+      if (last) {
+        ending = true;
+        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        return;
+      }
+      channel.write(response, channel.voidPromise());
+    }
+    if (wrote) {
+      channel.flush();
+      readOn();
+    }
+  }
+
+  private void readOn() {
+    channel.config().setAutoRead(exchanges.size() < PIPELINE_MOST && channel.isWritable());
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    readOn();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (!(cause instanceof java.io.IOException)) {
+      side.counters.fault("front.failed", String.valueOf(cause));
+    }
+    context.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    side.alarms.clear(slow);
+    side.left(this);
+    for (Exchange exchange : exchanges) {
+      if (exchange.scan != null) {
+        side.turn.scanLapsed(exchange.scan);
+      }
+      if (exchange.response != null) {
+        exchange.response.release();
+      }
+    }
+    exchanges.clear();
+  }
+
+  private final class SlowAlarm extends Alarms.Alarm {
+    @Override
+    protected void ring() {
+      side.counters.add("front.slow-requests");
+      close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/front/ClientSide.java
@@ -0,0 +1,129 @@
+package tidebank.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import tidebank.base.Counters;
+import tidebank.config.NodeConfig;
+import tidebank.model.TableType;
+import tidebank.node.Alarms;
+import tidebank.node.Clock;
+import tidebank.node.Turn;
+
+/** Listens for clients and keeps their connections within their budget. */
+public final class ClientSide {
+  final Turn turn;
+  final Clock clock;
+  final Alarms alarms;
+  final Counters counters;
+  final ScanReader reader;
+  /** A request that has not come whole within the longest query timeout is no use to anyone. */
+  final long slowestUs;
+  private final NodeConfig config;
+  private final BooleanSupplier ready;
+  private final Set<ClientConnection> connections = new LinkedHashSet<>();
+  private Channel listener;
+  private boolean draining;
+  private boolean ended;
+
+  public ClientSide(NodeConfig config, Turn turn, Clock clock, Alarms alarms, Counters counters,
+      BooleanSupplier ready) {
+    this.config = config;
+    this.turn = turn;
+    this.clock = clock;
+    this.alarms = alarms;
+    this.counters = counters;
+    this.ready = ready;
+    this.reader = new ScanReader(config.settings());
+    this.slowestUs = config.settings().tableTypes().values().stream()
+        .mapToLong(TableType::timeoutUs).max().orElse(0);
+  }
+
+  /** Binds the listening socket. */
+  public ChannelFuture listen(ServerBootstrap template) {
+    ChannelFuture binding = template.childHandler(new ChannelInitializer<Channel>() {
+      @Override
+      protected void initChannel(Channel channel) {
+        accepted(channel);
+      }
+    }).bind(config.listen());
+    listener = binding.channel();
+    return binding;
+  }
+
+  private void accepted(Channel channel) {
+    boolean surplus = connections.size() >= config.budgets().clients() && !closeOneIdle();
+    ClientConnection connection = new ClientConnection(this, surplus);
+    connections.add(connection);
+    channel.pipeline().addLast(
+        new ChannelInboundHandlerAdapter() {
+          @Override
+          public void channelRead(ChannelHandlerContext context, Object message) {
+            connection.begun();
+            context.fireChannelRead(message);
+          }
+        },
+        new HttpServerCodec(),
+        new HttpObjectAggregator(config.transport().bodyMost()),
+        connection);
+    if (connections.size() >= config.budgets().clientsMost()) {
+      listener.config().setAutoRead(false);
+    }
+  }
+
+  private boolean closeOneIdle() {
+    for (ClientConnection connection : connections) {
+      if (connection.isIdle()) {
+        connection.close();
+        counters.add("front.closed-idle");
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void left(ClientConnection connection) {
+    connections.remove(connection);
+    if (!ended && connections.size() < config.budgets().clientsMost()) {
+      listener.config().setAutoRead(true);
+    }
+  }
+
+  boolean ready() {
+    return !draining && ready.getAsBoolean();
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  /** From now on every answer ends its connection. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** No new connections; those without a request end. */
+  public void end() {
+    ended = true;
+    listener.close();
+    for (ClientConnection connection : List.copyOf(connections)) {
+      if (connection.isIdle()) {
+        connection.close();
+      }
+    }
+  }
+
+  /** How many connections are left. */
+  public int open() {
+    return connections.size();
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/front/Exchange.java
@@ -0,0 +1,93 @@
+package tidebank.front;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufOutputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import tidebank.node.Reply;
+
+/** One request on a client's connection and, once it is there, its response. */
+final class Exchange implements Reply {
+  private static final JsonFactory JSON = new JsonFactory();
+
+  private final ClientConnection connection;
+  final boolean keepAlive;
+  /** The id of the scan that the turn took from it, or null. */
+  String scan;
+  FullHttpResponse response;
+
+  Exchange(ClientConnection connection, boolean keepAlive) {
+    this.connection = connection;
+    this.keepAlive = keepAlive;
+  }
+
+  @Override
+  public void answered(boolean whole, List<Value> values) {
+    ByteBuf body = connection.allocator().directBuffer();
+    try (JsonGenerator out = JSON.createGenerator((OutputStream) new ByteBufOutputStream(body))) {
+      out.writeStartObject();
+      out.writeBooleanField("total", whole);
+      out.writeArrayFieldStart("answers");
+      for (Value value : values) {
+        out.writeStartObject();
+        out.writeNumberField("range", value.shard());
+        out.writeFieldName("blob");
+        out.writeUTF8String(value.bytes(), 0, value.bytes().length);
+        out.writeEndObject();
+      }
+      out.writeEndArray();
+      out.writeEndObject();
+    } catch (IOException fault) {
+      body.release();
+      respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "the answer could not be written");
+      return;
+    }
+    finish(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, body), "application/json");
+  }
+
+  @Override
+  public void throttled(long holdOffUs) {
+    respond(HttpResponseStatus.SERVICE_UNAVAILABLE, "throttled", holdOffUs);
+  }
+
+  @Override
+  public void abandoned() {
+    respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "abandoned");
+  }
+
+  void respond(HttpResponseStatus status, String text) {
+    respond(status, text, 0);
+  }
+
+  void respond(HttpResponseStatus status, String text, long holdOffUs) {
+    ByteBuf body = Unpooled.copiedBuffer(text + '\n', StandardCharsets.US_ASCII);
+    FullHttpResponse made = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+    if (holdOffUs > 0) {
+      made.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", holdOffUs / 1e6));
+    }
+    finish(made, "text/plain");
+  }
+
+  private void finish(FullHttpResponse made, String type) {
+    made.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+    made.headers().set(HttpHeaderNames.CONTENT_LENGTH, made.content().readableBytes());
+    if (!keepAlive || connection.closing()) {
+      made.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    scan = null;
+    response = made;
+    connection.flush();
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/front/ScanReader.java
@@ -0,0 +1,110 @@
+package tidebank.front;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import tidebank.model.Settings;
+import tidebank.node.ScanRequest;
+import tidebank.node.ScanRequest.Range;
+
+/** Reads and checks a scan. */
+final class ScanReader {
+  /** A request that is not a scan of this protocol, and the status that says so. */
+  static final class Rejected extends Exception {
+    private static final long serialVersionUID = 1L;
+    final int status;
+
+    Rejected(int status, String text) {
+      super(text, null, false, false);
+      this.status = status;
+    }
+  }
+
+  private static final Pattern ID = Pattern.compile("[A-Za-z0-9_-]{1,64}");
+  private static final Pattern TIME_LEFT = Pattern.compile("([0-9]{1,12}(?:\\.[0-9]{1,6})?)([mu])");
+  private static final double SUM_MOST = 1.05;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final Settings settings;
+
+  ScanReader(Settings settings) {
+    this.settings = settings;
+  }
+
+  /** Reads the scan of a request whose head was read at this moment. */
+  ScanRequest read(FullHttpRequest request, String type, long headAt) throws Rejected {
+    if (!settings.tableTypes().containsKey(type)) {
+      throw new Rejected(404, "unknown table type");
+    }
+    String id = request.headers().get("X-Correlation-Id", "");
+    if (!ID.matcher(id).matches()) {
+      throw new Rejected(400, "X-Correlation-Id is missing or no plain id");
+    }
+    long limitAt = headAt + timeLeft(request.headers().get("X-Time-Left", ""));
+    JsonNode body;
+    try (InputStream in = new ByteBufInputStream(request.content())) {
+      body = mapper.readTree(in);
+    } catch (IOException fault) {
+      throw new Rejected(400, "the body is no JSON");
+    }
+    JsonNode predicate = body.path("predicate");
+    if (!predicate.isTextual()) {
+      throw new Rejected(400, "predicate is missing or no text");
+    }
+    return new ScanRequest(id, type, request.headers().get("X-Account", ""), limitAt,
+        request.headers().get("X-Repeat", "").equals("1"), predicate.textValue().getBytes(UTF_8),
+        ranges(body.path("ranges")));
+  }
+
+  private static long timeLeft(String text) throws Rejected {
+    Matcher parts = TIME_LEFT.matcher(text);
+    if (!parts.matches()) {
+      throw new Rejected(400, "X-Time-Left is missing or no time such as 480m");
+    }
+    long us = Math.round(Double.parseDouble(parts.group(1)) * (parts.group(2).equals("m") ? 1000 : 1));
+    if (us <= 0) {
+      throw new Rejected(400, "X-Time-Left is no time above 0");
+    }
+    return us;
+  }
+
+  private List<Range> ranges(JsonNode list) throws Rejected {
+    if (!list.isArray() || list.isEmpty()) {
+      throw new Rejected(400, "ranges is missing or empty");
+    }
+    List<Range> ranges = new ArrayList<>(list.size());
+    Set<Integer> seen = new HashSet<>();
+    double sum = 0;
+    for (JsonNode range : list) {
+      JsonNode shard = range.path("range");
+      double weight = range.path("portion").isNumber() ? range.path("portion").doubleValue() : -1;
+      if (!shard.isIntegralNumber() || !shard.canConvertToInt() || shard.intValue() < 0
+          || shard.intValue() >= settings.layout().shards()) {
+        throw new Rejected(400, "range is no known shard");
+      }
+      if (!seen.add(shard.intValue())) {
+        throw new Rejected(400, "a range stands twice");
+      }
+      if (!(weight >= 0 && weight <= 1)) {
+        throw new Rejected(400, "portion is no share from 0 to 1");
+      }
+      sum += weight;
+      ranges.add(new Range(shard.intValue(), weight, range.path("hash").asText("")));
+    }
+    if (!(sum > 0 && sum <= SUM_MOST)) {
+      throw new Rejected(400, "the portions do not make one whole");
+    }
+    return ranges;
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/front/package-info.java
@@ -0,0 +1,2 @@
+/** The clients' side: HTTP in, one answer for each scan out. */
+package tidebank.front;
--- /dev/null
+++ b/src/main/java/tidebank/node/Alarms.java
@@ -0,0 +1,77 @@
+package tidebank.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Comparator;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+
+/** All that waits for a time, behind one wake-up of the event loop for the earliest. */
+public final class Alarms {
+  /** Something that is due at a time. It is set at most once at a time. */
+  public abstract static class Alarm {
+    private long at;
+    private long order;
+    private boolean set;
+
+    /** Its time has come. */
+    protected abstract void ring();
+  }
+
+  private static final Comparator<Alarm> EARLIEST =
+      Comparator.comparingLong((Alarm alarm) -> alarm.at).thenComparingLong(alarm -> alarm.order);
+
+  private final TreeSet<Alarm> waiting = new TreeSet<>(EARLIEST);
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Runnable wake = this::wake;
+  private ScheduledFuture<?> wakeUp;
+  private long wakeAt = Long.MAX_VALUE;
+  private long orders;
+
+  public Alarms(EventLoop loop, Clock clock) {
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  /** Sets an alarm, or moves it. */
+  public void set(Alarm alarm, long at) {
+    clear(alarm);
+    alarm.at = at;
+    alarm.order = ++orders;
+    alarm.set = true;
+    waiting.add(alarm);
+    arm();
+  }
+
+  public void clear(Alarm alarm) {
+    if (alarm.set) {
+      waiting.remove(alarm);
+      alarm.set = false;
+    }
+  }
+
+  /** Moves the wake-up only forward: one that comes too early finds nothing and sets the next. */
+  private void arm() {
+    long first = waiting.isEmpty() ? Long.MAX_VALUE : waiting.first().at;
+    if (first < wakeAt) {
+      if (wakeUp != null) {
+        wakeUp.cancel(false);
+      }
+      wakeAt = first;
+      wakeUp = loop.schedule(wake, Math.max(0, first - clock.now()), TimeUnit.MICROSECONDS);
+    }
+  }
+
+  private void wake() {
+    wakeUp = null;
+    wakeAt = Long.MAX_VALUE;
+    long now = clock.now();
+    while (!waiting.isEmpty() && waiting.first().at <= now) {
+      Alarm due = waiting.pollFirst();
+      due.set = false;
+      due.ring();
+    }
+    arm();
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/node/Gatherer.java
@@ -0,0 +1,179 @@
+package tidebank.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import tidebank.base.Counters;
+import tidebank.base.Log;
+import tidebank.base.NettyLog;
+import tidebank.config.Malformed;
+import tidebank.config.NodeConfig;
+import tidebank.discovery.DiscoverySide;
+import tidebank.discovery.ListReader;
+import tidebank.front.ClientSide;
+import tidebank.model.Event.ListKind;
+import tidebank.shard.ShardSide;
+
+/** A gatherer on sockets, to be embedded: {@link #start} it, ask whether it is ready, {@link #stop} it. */
+public final class Gatherer {
+  private static final int PAGE = 8192;
+  /** Chunks of 512 KiB: one arena of few chunks serves a gatherer. */
+  private static final int CHUNK_ORDER = 6;
+  private static final int WRITE_LOW = 32 * 1024;
+  private static final int WRITE_HIGH = 128 * 1024;
+  private static final long REPORT_US = 60_000_000;
+
+  private final NodeConfig config;
+  private final Clock clock = new Clock();
+  private final Counters counters = new Counters();
+  private final EventLoopGroup group;
+  private final ByteBufAllocator allocator;
+  private final EventLoop loop;
+  private final Alarms alarms;
+  private final Turn turn;
+  private final ShardSide shards;
+  private final DiscoverySide discovery;
+  private final ClientSide clients;
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+  private InetSocketAddress address;
+  private boolean stopping;
+
+  private Gatherer(NodeConfig config) {
+    this.config = config;
+    NettyLog.install();
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = group.next();
+    alarms = new Alarms(loop, clock);
+    turn = new Turn(config.settings(), config.seed(), clock, alarms, loop, counters);
+    allocator = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER);
+    Bootstrap out = new Bootstrap().group(group).channel(NioSocketChannel.class)
+        .option(ChannelOption.ALLOCATOR, allocator)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH))
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.transport().connectTimeoutUs() / 1000));
+    shards = new ShardSide(config, out, turn, clock, alarms, counters);
+    discovery = new DiscoverySide(config, out, turn, clock, alarms, counters);
+    turn.connect(shards, discovery);
+    clients = new ClientSide(config, turn, clock, alarms, counters, turn::knowsServers);
+  }
+
+  /** Starts one; when this returns it listens. */
+  public static Gatherer start(NodeConfig config) throws IOException {
+    Gatherer gatherer = new Gatherer(config);
+    try {
+      gatherer.begin();
+    } catch (IOException | RuntimeException fault) {
+      gatherer.group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+      throw fault;
+    }
+    return gatherer;
+  }
+
+  private void begin() throws IOException {
+    ListReader.Members known = known();
+    ServerBootstrap in = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.SO_BACKLOG, config.budgets().clients())
+        .childOption(ChannelOption.ALLOCATOR, allocator)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH));
+    loop.submit(() -> turn.listSeen(ListKind.REMEMBERED, known.members())).syncUninterruptibly();
+    ChannelFuture binding = clients.listen(in).awaitUninterruptibly();
+    if (!binding.isSuccess()) {
+      throw new IOException("cannot listen on " + config.listen() + ": " + binding.cause().getMessage());
+    }
+    SocketAddress bound = binding.channel().localAddress();
+    address = (InetSocketAddress) bound;
+    loop.execute(() -> alarms.set(new Report(), clock.now() + REPORT_US));
+    Log.info("gatherer " + config.name() + " listens on " + address + ", knows " + known.members().size()
+        + " shard servers");
+  }
+
+  private ListReader.Members known() throws Malformed {
+    if (config.known() == null) {
+      return new ListReader.Members(0, true, java.util.List.of());
+    }
+    try {
+      return ListReader.read(config.known());
+    } catch (Malformed fault) {
+      throw new Malformed("known: " + fault.getMessage());
+    }
+  }
+
+  /** Where it listens; the port is the system's choice where the configuration says 0. */
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  /** Whether it can serve: it knows of shard servers and is not stopping. */
+  public boolean ready() {
+    return loop.submit(() -> !stopping && turn.knowsServers()).syncUninterruptibly().getNow();
+  }
+
+  /** Begins to stop: not ready, stragglers served, all that was taken answered. Completes when that is done. */
+  public CompletableFuture<Void> stop() {
+    loop.execute(() -> {
+      if (!stopping) {
+        stopping = true;
+        Log.info("stopping");
+        clients.drain();
+        alarms.set(new StragglersIn(), clock.now() + config.transport().stragglersUs());
+      }
+    });
+    return stopped;
+  }
+
+  private void noMoreStragglers() {
+    clients.end();
+    turn.whenIdle(this::waitForClients);
+  }
+
+  /** Answers are on their way; their connections close once they are written. */
+  private void waitForClients() {
+    if (clients.open() > 0 && turn.idle()) {
+      alarms.set(new StragglersGone(), clock.now() + config.settings().tickUs());
+      return;
+    }
+    shards.close();
+    discovery.close();
+    Log.info("stopped: " + counters);
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> stopped.complete(null));
+  }
+
+  private final class StragglersIn extends Alarms.Alarm {
+    @Override
+    protected void ring() {
+      noMoreStragglers();
+    }
+  }
+
+  private final class StragglersGone extends Alarms.Alarm {
+    @Override
+    protected void ring() {
+      turn.whenIdle(Gatherer.this::waitForClients);
+    }
+  }
+
+  private final class Report extends Alarms.Alarm {
+    @Override
+    protected void ring() {
+      Log.info("counters: " + counters);
+      alarms.set(this, clock.now() + REPORT_US);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/node/ListPort.java
@@ -0,0 +1,7 @@
+package tidebank.node;
+
+/** What the turn asks of the side that speaks to discovery. */
+public interface ListPort {
+  /** Begins a watch anew, or ends it. Exactly one list event answers a beginning; changes follow until it is lost. */
+  void follow(boolean on);
+}
--- /dev/null
+++ b/src/main/java/tidebank/node/Order.java
@@ -0,0 +1,35 @@
+package tidebank.node;
+
+/** One dispatch, from the module's word to its one end. The shard side carries it out, the turn keeps the books. */
+public final class Order {
+  public final String part;
+  public final int shard;
+  public final String server;
+  public final byte[] text;
+  public final long stopAt;
+  final HeldScan.HeldPart held;
+  final int number;
+  final long askedAt;
+  Ticket ticket;
+  boolean ended;
+
+  Order(HeldScan.HeldPart held, int number, String server, byte[] text, long stopAt, long askedAt) {
+    this.held = held;
+    this.part = held.id;
+    this.shard = held.range.shard();
+    this.number = number;
+    this.server = server;
+    this.text = text;
+    this.stopAt = stopAt;
+    this.askedAt = askedAt;
+  }
+
+  /** What the shard side gives back for an order. */
+  public interface Ticket {
+    /** Stop waiting for it; its shard server is told so if it got it. */
+    void cancel();
+
+    /** Drop it if nothing of it was written yet. */
+    void dropUnsent();
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/node/Reply.java
@@ -0,0 +1,17 @@
+package tidebank.node;
+
+import java.util.List;
+
+/** How a front hears of the one final answer of a scan that it took. */
+public interface Reply {
+  /** The value of a part that is in, as its shard server gave it. */
+  record Value(int shard, byte[] bytes) {}
+
+  void answered(boolean whole, List<Value> values);
+
+  /** Trying again is harmless; {@code holdOffUs} above 0 advises when. */
+  void throttled(long holdOffUs);
+
+  /** No promise about its effect. */
+  void abandoned();
+}
--- /dev/null
+++ b/src/main/java/tidebank/node/ShardPort.java
@@ -0,0 +1,24 @@
+package tidebank.node;
+
+import java.util.List;
+import tidebank.model.Event;
+
+/** What the turn asks of the side that speaks to shard servers. */
+public interface ShardPort {
+  /** Takes the list, or what changed in it; {@code full}: what is not named has left. */
+  void listed(List<Member> members, boolean full);
+
+  /** Takes a dispatch; it goes out with {@link #flush}. Its end is told to the turn. */
+  Order.Ticket send(Order order);
+
+  /** All sends of this turn are in: those to one server share calls. */
+  void flush();
+
+  /** Closes connections on which nothing is out. */
+  void closeIdle(String server);
+
+  void probe(String server);
+
+  /** A line of the list, with the address. */
+  record Member(Event.Listed line, java.net.InetSocketAddress address) {}
+}
--- /dev/null
+++ b/src/main/java/tidebank/node/Turn.java
@@ -0,0 +1,291 @@
+package tidebank.node;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import tidebank.Brain;
+import tidebank.base.Counters;
+import tidebank.base.Log;
+import tidebank.model.Action;
+import tidebank.model.Event;
+import tidebank.model.Event.ListKind;
+import tidebank.model.Outcome;
+import tidebank.model.Settings;
+import tidebank.node.HeldScan.HeldPart;
+import tidebank.node.ShardPort.Member;
+
+/**
+ * Gathers what one pass of the event loop brings, calls the module once and carries out what it wants, in order.
+ * It decides nothing. All of it runs on the event loop.
+ */
+public final class Turn {
+  private final Settings settings;
+  private final Clock clock;
+  private final Alarms alarms;
+  private final EventLoop loop;
+  private final Counters counters;
+  private final Runnable run = this::run;
+  private final Map<String, HeldScan> scans = new HashMap<>();
+  private final Map<String, HeldPart> parts = new HashMap<>();
+  private final Map<String, Member> list = new HashMap<>();
+  private List<Event> events = new ArrayList<>();
+  private boolean scheduled;
+  private Brain brain;
+  private long seed;
+  private ShardPort shards;
+  private ListPort discovery;
+  private Runnable whenIdle;
+  private long numbers;
+  private int held;
+
+  Turn(Settings settings, long seed, Clock clock, Alarms alarms, EventLoop loop, Counters counters) {
+    this.settings = settings;
+    this.seed = seed;
+    this.clock = clock;
+    this.alarms = alarms;
+    this.loop = loop;
+    this.counters = counters;
+    this.brain = new Brain(settings, seed);
+  }
+
+  void connect(ShardPort shards, ListPort discovery) {
+    this.shards = shards;
+    this.discovery = discovery;
+  }
+
+  // ---- what happened
+
+  /** A front took a scan. False: as much is held as the settings allow, or its id is; it was not taken. */
+  public boolean scanTaken(ScanRequest request, Reply reply) {
+    int more = 1 + request.ranges().size();
+    if (held > settings.limits().mostHeld() - more || scans.containsKey(request.id())) {
+      return false;
+    }
+    HeldScan scan = new HeldScan(request, ++numbers, reply);
+    held += more;
+    scans.put(request.id(), scan);
+    parts.putAll(scan.parts);
+    tell(new Event.ScanTaken(request.id(), scan.number, request.type(), request.account(), request.limitAt(),
+        request.resent(), ""));
+    for (HeldPart part : scan.parts.values()) {
+      tell(new Event.PartTaken(part.id, scan.number, part.range.shard(), part.range.weight(), part.range.key()));
+    }
+    return true;
+  }
+
+  /** Whether a scan of this id is held. */
+  public boolean holds(String id) {
+    return scans.containsKey(id);
+  }
+
+  /** The client of a scan has left. */
+  public void scanLapsed(String id) {
+    HeldScan scan = scans.get(id);
+    if (scan != null) {
+      counters.add("scans.lapsed");
+      finish(scan);
+      tell(new Event.ScanLapsed(id));
+    }
+  }
+
+  /** A dispatch has come to its one end; {@code value} is null unless it completed. */
+  public void dispatchEnded(Order order, Outcome outcome, byte[] value, Map<String, Double> report) {
+    counters.must(!order.ended, "a dispatch ends once");
+    if (order.ended) {
+      return;
+    }
+    order.ended = true;
+    HeldPart part = order.held;
+    if (value != null && part.value == null && part.scan.reply != null) {
+      part.value = value;
+    }
+    counters.add("dispatches." + outcome.name().toLowerCase());
+    boolean closed = part.scan.reply == null || part.value != null;
+    tell(new Event.DispatchEnded(
+        part.id, order.number, outcome, clock.now() - order.askedAt, closed, report));
+    forget(part);
+  }
+
+  public void probed(String server, Outcome outcome, long tookUs, Map<String, Double> report) {
+    tell(new Event.Probed(server, outcome, tookUs, report));
+  }
+
+  /** A list, or what changed in it, or that the watch was lost. */
+  public void listSeen(ListKind kind, List<Member> members) {
+    if (kind != ListKind.LOST) {
+      boolean full = kind != ListKind.CHANGES;
+      if (full) {
+        list.clear();
+      }
+      members.forEach(member -> list.put(member.line().server(), member));
+      shards.listed(members, full);
+    }
+    counters.add("list." + kind.name().toLowerCase());
+    tell(new Event.ListSeen(kind, members.stream().map(Member::line).toList()));
+  }
+
+  /** Runs something once no scan is held and nothing waits to be decided. */
+  void whenIdle(Runnable then) {
+    whenIdle = then;
+    checkIdle();
+  }
+
+  boolean idle() {
+    return scans.isEmpty();
+  }
+
+  /** Whether any list told of a shard server. */
+  boolean knowsServers() {
+    return !list.isEmpty();
+  }
+
+  private void tell(Event event) {
+    events.add(event);
+    if (!scheduled) {
+      scheduled = true;
+      loop.execute(run);
+    }
+  }
+
+  // ---- the turn
+
+  private void run() {
+    scheduled = false;
+    List<Event> taken = events;
+    events = new ArrayList<>();
+    counters.add("turns");
+    try {
+      for (Action action : brain.on(clock.now(), taken)) {
+        carryOut(action);
+      }
+      shards.flush();
+    } catch (RuntimeException fault) {
+      Log.error("module or turn failed; all that is held is abandoned", fault);
+      counters.add("turns.failed");
+      startOver();
+    }
+    checkIdle();
+  }
+
+  /** The module may be half way through a change: it starts again from the list, as after a restart. */
+  private void startOver() {
+    for (HeldScan scan : List.copyOf(scans.values())) {
+      Reply reply = scan.reply;
+      finish(scan);
+      scan.parts.values().forEach(part -> List.copyOf(part.orders).forEach(this::cancel));
+      reply.abandoned();
+    }
+    shards.flush();
+    events.removeIf(event -> !(event instanceof Event.ScanTaken || event instanceof Event.PartTaken));
+    brain = new Brain(settings, ++seed);
+    events.add(0, new Event.ListSeen(ListKind.REMEMBERED, list.values().stream().map(Member::line).toList()));
+    tell(new Event.TimerDue(0));
+  }
+
+  private void carryOut(Action action) {
+    if (action instanceof Action.Send send) {
+      send(send);
+    } else if (action instanceof Action.Cancel cancel) {
+      HeldPart part = parts.get(cancel.part());
+      if (part != null) {
+        cancel(part.orders.get(cancel.dispatch()));
+      }
+    } else if (action instanceof Action.Answer answer) {
+      HeldScan scan = scans.get(answer.scan());
+      if (scan != null) {
+        Reply reply = scan.reply;
+        finish(scan);
+        counters.add(answer.whole() ? "scans.whole" : "scans.partial");
+        reply.answered(answer.whole(), scan.values());
+      }
+    } else if (action instanceof Action.Throttle throttle) {
+      HeldScan scan = scans.get(throttle.scan());
+      if (scan != null) {
+        Reply reply = scan.reply;
+        finish(scan);
+        counters.add("scans.throttled");
+        reply.throttled(throttle.holdOffUs());
+      }
+    } else if (action instanceof Action.Abandon abandon) {
+      HeldScan scan = scans.get(abandon.scan());
+      if (scan != null) {
+        Reply reply = scan.reply;
+        finish(scan);
+        counters.add("scans.abandoned");
+        reply.abandoned();
+      }
+    } else if (action instanceof Action.SetTimer timer) {
+      alarms.set(new Timer(timer.token()), clock.now() + timer.waitUs());
+    } else if (action instanceof Action.Follow follow) {
+      discovery.follow(follow.on());
+    } else if (action instanceof Action.Close close) {
+      shards.closeIdle(close.server());
+    } else if (action instanceof Action.Probe probe) {
+      shards.probe(probe.server());
+    } else if (action instanceof Action.Note note) {
+      Log.info("module: " + note.text());
+    }
+  }
+
+  private void send(Action.Send send) {
+    HeldPart part = parts.get(send.part());
+    counters.must(part != null && part.scan.reply != null, "only parts of an open scan are sent");
+    if (part == null || part.scan.reply == null) {
+      return;
+    }
+    Order order = new Order(part, part.orders.size(), send.server(), part.scan.request.text(), send.stopAt(),
+        clock.now());
+    part.orders.add(order);
+    order.ticket = shards.send(order);
+  }
+
+  private void cancel(Order order) {
+    if (!order.ended) {
+      order.ticket.cancel();
+    }
+  }
+
+  /** The scan has its final answer, or needs none: nothing of it may be written any more. */
+  private void finish(HeldScan scan) {
+    scan.reply = null;
+    scans.remove(scan.request.id());
+    held -= 1 + scan.parts.size();
+    for (HeldPart part : scan.parts.values()) {
+      for (Order order : List.copyOf(part.orders)) {
+        if (!order.ended) {
+          order.ticket.dropUnsent();
+        }
+      }
+      forget(part);
+    }
+  }
+
+  private void forget(HeldPart part) {
+    if (part.scan.reply == null && part.orders.stream().allMatch(order -> order.ended)) {
+      parts.remove(part.id);
+    }
+  }
+
+  private void checkIdle() {
+    if (whenIdle != null && scans.isEmpty() && !scheduled) {
+      Runnable then = whenIdle;
+      whenIdle = null;
+      then.run();
+    }
+  }
+
+  private final class Timer extends Alarms.Alarm {
+    private final long token;
+
+    Timer(long token) {
+      this.token = token;
+    }
+
+    @Override
+    protected void ring() {
+      tell(new Event.TimerDue(token));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/node/package-info.java
@@ -0,0 +1,2 @@
+/** The gatherer as a library: life cycle, clock, wake-ups and the turn that drives the decisions. */
+package tidebank.node;
--- /dev/null
+++ b/src/main/java/tidebank/shard/Connection.java
@@ -0,0 +1,275 @@
+package tidebank.shard;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tidebank.config.Malformed;
+import tidebank.model.Outcome;
+import tidebank.node.Alarms;
+
+/**
+ * One connection to a shard server. At most one frame with parts is in Netty's hands before it is wholly written:
+ * the others wait here, where they can still be dropped and are known never to have run.
+ */
+final class Connection extends SimpleChannelInboundHandler<ByteBuf> {
+  private record Probe(byte letter, long askedAt) {}
+
+  private final Server server;
+  private final ShardSide side;
+  private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+  private final Set<Call> calls = new HashSet<>();
+  private final Map<String, Flight> out = new HashMap<>();
+  private final ArrayDeque<Probe> probes = new ArrayDeque<>();
+  private final ChannelFutureListener written = this::written;
+  private final Alarms.Alarm idle = new IdleAlarm();
+  private final Alarms.Alarm probeLate = new ProbeAlarm();
+  private Channel channel;
+  private Call writing;
+  private boolean up;
+  private boolean closed;
+  private long lastUsed;
+
+  Connection(Server server) {
+    this.server = server;
+    this.side = server.side;
+  }
+
+  void connect(SocketAddress address) {
+    ChannelFuture connecting = side.bootstrap(this).connect(address);
+    channel = connecting.channel();
+    connecting.addListener((ChannelFutureListener) done -> {
+      if (!done.isSuccess()) {
+        side.counters.add("shard.connect-failed");
+        ended(false);
+      }
+    });
+  }
+
+  /** Whether a call can be given to it: it is not closing, has a free place, and was used of late. */
+  boolean hasRoom() {
+    return !closed && calls.size() < side.transport.maxStreams()
+        && (!up || !calls.isEmpty() || side.clock.now() < unusableFrom());
+  }
+
+  boolean isIdle() {
+    return up && calls.isEmpty() && probes.isEmpty();
+  }
+
+  /** What is written from the keep-alive on is lost, so the last use is as long before as a connection may take. */
+  private long unusableFrom() {
+    return lastUsed + Math.max(0, side.transport.keepaliveUs() - side.transport.connectTimeoutUs());
+  }
+
+  void take(Call call) {
+    side.alarms.clear(idle);
+    call.connection = this;
+    calls.add(call);
+    waiting.add(call);
+    if (up) {
+      write();
+    }
+  }
+
+  /** Writes the next call, unless one is still being written. */
+  private void write() {
+    while (writing == null && !waiting.isEmpty() && !closed) {
+      Call call = waiting.poll();
+      long now = side.clock.now();
+      if (now >= server.closedFrom) {
+        side.counters.add("shard.dropped-for-drain");
+        server.endAll(call, Outcome.NEVER_SENT);
+      }
+      if (call.flights.isEmpty()) {
+        continue;
+      }
+      writing = call;
+      for (Flight flight : call.flights) {
+        flight.stage = Flight.Stage.WRITING;
+        out.put(flight.order.part, flight);
+      }
+      lastUsed = now;
+      channel.writeAndFlush(Frames.call(channel.alloc(), call.flights, now)).addListener(written);
+    }
+  }
+
+  /** The frame being written is out whole, or never will be. */
+  private void written(ChannelFuture done) {
+    Call call = writing;
+    writing = null;
+    if (call == null) {
+      return;
+    }
+    if (!done.isSuccess()) {
+      server.endAll(call, Outcome.UNREACHABLE);
+      close();
+      return;
+    }
+    for (Flight flight : call.flights) {
+      flight.stage = Flight.Stage.OUT;
+    }
+    write();
+  }
+
+  /** Tells the shard server that a part written to it is given up, where that is allowed. */
+  void giveUp(Flight flight) {
+    if (side.mayGiveUp && channel.isActive()) {
+      channel.writeAndFlush(Frames.giveUp(channel.alloc(), flight.order.part), channel.voidPromise());
+    }
+  }
+
+  /** A flight has ended. */
+  void forget(Flight flight) {
+    out.remove(flight.order.part, flight);
+    if (flight.call.flights.isEmpty()) {
+      calls.remove(flight.call);
+      waiting.remove(flight.call);
+      if (isIdle() && !closed) {
+        lastUsed = side.clock.now();
+        side.alarms.set(idle, unusableFrom());
+      }
+    }
+  }
+
+  void probe(byte letter) {
+    probes.add(new Probe(letter, side.clock.now()));
+    if (probes.size() == 1) {
+      side.alarms.set(probeLate, side.clock.now() + side.transport.connectTimeoutUs());
+    }
+    if (up) {
+      channel.writeAndFlush(Frames.probe(channel.alloc(), letter), channel.voidPromise());
+    }
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    channel = context.channel();
+    up = true;
+    side.counters.add("shard.connections");
+    lastUsed = side.clock.now();
+    probes.forEach(probe ->
+        channel.writeAndFlush(Frames.probe(channel.alloc(), probe.letter()), channel.voidPromise()));
+    write();
+    if (isIdle()) {
+      side.alarms.set(idle, unusableFrom());
+    }
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Malformed {
+    if (closed) {
+      return;
+    }
+    if (!frame.isReadable()) {
+      throw new Malformed("a frame without a letter");
+    }
+    lastUsed = side.clock.now();
+    byte letter = frame.readByte();
+    switch (letter) {
+      case Frames.ANSWER -> answered(Frames.answer(frame));
+      case Frames.PROBE, Frames.PROBE_LOAD -> probed(letter, Frames.text(frame));
+      case Frames.UNUSABLE -> throw new Malformed("a frame of ours could not be used: " + Frames.text(frame));
+      default -> throw new Malformed("an unknown letter " + letter);
+    }
+  }
+
+  private void answered(Frames.Answer answer) {
+    Flight flight = out.get(answer.id());
+    if (flight == null) {
+      side.counters.add("shard.answers-not-awaited");
+      return;
+    }
+    // The value outlives the buffer that it was read into.
+    byte[] value = answer.outcome() == Outcome.COMPLETED ? ByteBufUtil.getBytes(answer.value()) : null;
+    server.end(flight, answer.outcome(), value, answer.report());
+  }
+
+  private void probed(byte letter, String text) throws Malformed {
+    Probe probe = probes.poll();
+    if (probe == null || probe.letter() != letter) {
+      throw new Malformed("an answer to no probe");
+    }
+    side.alarms.clear(probeLate);
+    boolean good = !text.equals("bad");
+    side.turn.probed(server.id, good ? Outcome.COMPLETED : Outcome.ERROR, side.clock.now() - probe.askedAt(),
+        good && letter == Frames.PROBE_LOAD ? Frames.report(text) : Map.of());
+    if (!probes.isEmpty()) {
+      side.alarms.set(probeLate, side.clock.now() + side.transport.connectTimeoutUs());
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (!(cause instanceof java.io.IOException) || cause instanceof Malformed) {
+      Throwable root = cause.getCause() == null ? cause : cause.getCause();
+      side.counters.fault("shard.malformed", "server " + server.id + ": " + root);
+    }
+    close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    ended(true);
+  }
+
+  void close() {
+    if (channel != null) {
+      channel.close();
+    }
+    ended(up);
+  }
+
+  /** Ends what is on it: what was written whole may have run, the rest never did. */
+  private void ended(boolean wasUp) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    side.alarms.clear(idle);
+    side.alarms.clear(probeLate);
+    server.removed(this);
+    for (Call call : new ArrayList<>(calls)) {
+      for (Flight flight : List.copyOf(call.flights)) {
+        server.end(flight, flight.stage == Flight.Stage.OUT ? Outcome.BROKEN : Outcome.UNREACHABLE, null);
+      }
+    }
+    for (Probe probe : probes) {
+      side.turn.probed(server.id, wasUp ? Outcome.BROKEN : Outcome.UNREACHABLE,
+          side.clock.now() - probe.askedAt(), Map.of());
+    }
+    probes.clear();
+  }
+
+  private final class IdleAlarm extends Alarms.Alarm {
+    @Override
+    protected void ring() {
+      if (isIdle()) {
+        side.counters.add("shard.closed-idle");
+        close();
+      }
+    }
+  }
+
+  private final class ProbeAlarm extends Alarms.Alarm {
+    @Override
+    protected void ring() {
+      Probe late = probes.peek();
+      if (late != null) {
+        side.turn.probed(server.id, Outcome.TIMED_OUT, side.clock.now() - late.askedAt(), Map.of());
+        probes.clear();
+        close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/shard/Server.java
@@ -0,0 +1,113 @@
+package tidebank.shard;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import tidebank.model.Outcome;
+import tidebank.node.Order;
+
+/** What is kept for one shard server: its address, its connections, this turn's calls and its drain. */
+final class Server {
+  final String id;
+  final ShardSide side;
+  final List<Connection> connections = new ArrayList<>();
+  InetSocketAddress address;
+  /** The moment from which nothing may begin to be sent. */
+  long closedFrom = Long.MAX_VALUE;
+  boolean gone;
+  private Call gathering;
+
+  Server(String id, ShardSide side) {
+    this.id = id;
+    this.side = side;
+  }
+
+  /** Takes a part into this turn's call. */
+  Flight gather(Order order) {
+    if (gathering == null || gathering.flights.size() >= side.bundleMost()) {
+      gathering = new Call(this);
+      side.pending(gathering);
+    }
+    Flight flight = new Flight(order, gathering);
+    gathering.flights.add(flight);
+    side.alarms.set(flight, order.stopAt);
+    return flight;
+  }
+
+  void gathered() {
+    gathering = null;
+  }
+
+  /** Gives a call to a connection with a free place, or to a new one. */
+  void place(Call call) {
+    if (call.flights.isEmpty()) {
+      return;
+    }
+    for (Connection connection : connections) {
+      if (connection.hasRoom()) {
+        connection.take(call);
+        return;
+      }
+    }
+    if (address == null || !side.mayOpen(this)) {
+      side.counters.fault("shard.no-connection-to-spare", "server " + id);
+      endAll(call, Outcome.UNREACHABLE);
+      return;
+    }
+    Connection connection = open();
+    connection.take(call);
+    connection.connect(address);
+  }
+
+  private Connection open() {
+    Connection connection = new Connection(this);
+    connections.add(connection);
+    side.opened++;
+    return connection;
+  }
+
+  void probe(byte letter) {
+    for (Connection connection : connections) {
+      if (connection.hasRoom()) {
+        connection.probe(letter);
+        return;
+      }
+    }
+    if (address == null || !side.mayOpen(this)) {
+      side.turn.probed(id, Outcome.UNREACHABLE, 0, Map.of());
+      return;
+    }
+    Connection connection = open();
+    connection.probe(letter);
+    connection.connect(address);
+  }
+
+  void endAll(Call call, Outcome outcome) {
+    for (Flight flight : List.copyOf(call.flights)) {
+      end(flight, outcome, null);
+    }
+  }
+
+  void end(Flight flight, Outcome outcome, byte[] value) {
+    end(flight, outcome, value, Map.of());
+  }
+
+  void end(Flight flight, Outcome outcome, byte[] value, Map<String, Double> report) {
+    flight.stage = Flight.Stage.ENDED;
+    side.alarms.clear(flight);
+    Call call = flight.call;
+    call.flights.remove(flight);
+    if (call.connection != null) {
+      call.connection.forget(flight);
+    }
+    side.turn.dispatchEnded(flight.order, outcome, value, report);
+  }
+
+  void removed(Connection connection) {
+    if (connections.remove(connection)) {
+      side.opened--;
+    }
+    side.forgetIfGone(this);
+  }
+}
--- /dev/null
+++ b/src/main/java/tidebank/shard/ShardSide.java
@@ -0,0 +1,155 @@
+package tidebank.shard;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tidebank.base.Counters;
+import tidebank.config.NodeConfig;
+import tidebank.model.Event.ServerStatus;
+import tidebank.node.Alarms;
+import tidebank.node.Clock;
+import tidebank.node.Order;
+import tidebank.node.ShardPort;
+import tidebank.node.Turn;
+
+/** Carries out dispatches on connections to shard servers and tells their ends. */
+public final class ShardSide implements ShardPort {
+  private static final int LENGTH_BYTES = 4;
+
+  final Turn turn;
+  final Clock clock;
+  final Alarms alarms;
+  final Counters counters;
+  final NodeConfig.Transport transport;
+  final boolean mayGiveUp;
+  /** Connections that are open or coming up. */
+  int opened;
+  private final NodeConfig config;
+  private final Bootstrap template;
+  private final Map<String, Server> servers = new HashMap<>();
+  private final List<Call> pending = new ArrayList<>();
+
+  public ShardSide(NodeConfig config, Bootstrap template, Turn turn, Clock clock, Alarms alarms, Counters counters) {
+    this.config = config;
+    this.transport = config.transport();
+    this.mayGiveUp = config.settings().limits().cancel();
+    this.template = template;
+    this.turn = turn;
+    this.clock = clock;
+    this.alarms = alarms;
+    this.counters = counters;
+  }
+
+  Bootstrap bootstrap(Connection connection) {
+    return template.clone().handler(new ChannelInitializer<Channel>() {
+      @Override
+      protected void initChannel(Channel channel) {
+        channel.pipeline().addLast(
+            new LengthFieldBasedFrameDecoder(
+                transport.bodyMost() + Frames.LINE_MOST, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+            new LengthFieldPrepender(LENGTH_BYTES),
+            connection);
+      }
+    });
+  }
+
+  int bundleMost() {
+    return config.settings().layout().bundleMax();
+  }
+
+  void pending(Call call) {
+    pending.add(call);
+  }
+
+  boolean mayOpen(Server server) {
+    return opened < config.budgets().servers() && server.connections.size() < config.budgets().serverMost();
+  }
+
+  @Override
+  public void listed(List<Member> members, boolean full) {
+    long now = clock.now();
+    Set<String> named = new HashSet<>();
+    for (Member member : members) {
+      String id = member.line().server();
+      named.add(id);
+      Server server = servers.computeIfAbsent(id, absent -> new Server(id, this));
+      if (member.line().status() == ServerStatus.IN_SERVICE) {
+        server.closedFrom = Long.MAX_VALUE;
+        server.gone = false;
+        if (!member.address().equals(server.address)) {
+          server.address = member.address();
+          closeIdle(id);
+        }
+      } else {
+        leaves(server, now, member.line().status() == ServerStatus.GONE);
+      }
+    }
+    if (full) {
+      for (Server server : List.copyOf(servers.values())) {
+        if (!named.contains(server.id)) {
+          leaves(server, now, true);
+        }
+      }
+    }
+  }
+
+  private void leaves(Server server, long now, boolean gone) {
+    server.closedFrom = Math.min(server.closedFrom, now + config.settings().rules().drainGraceUs());
+    server.gone = gone;
+    forgetIfGone(server);
+  }
+
+  void forgetIfGone(Server server) {
+    if (server.gone && server.connections.isEmpty()) {
+      servers.remove(server.id, server);
+    }
+  }
+
+  @Override
+  public Order.Ticket send(Order order) {
+    return servers.computeIfAbsent(order.server, absent -> new Server(order.server, this)).gather(order);
+  }
+
+  @Override
+  public void flush() {
+    for (Call call : pending) {
+      call.server.gathered();
+    }
+    List<Call> placed = List.copyOf(pending);
+    pending.clear();
+    placed.forEach(call -> call.server.place(call));
+  }
+
+  @Override
+  public void closeIdle(String id) {
+    Server server = servers.get(id);
+    if (server != null) {
+      for (Connection connection : List.copyOf(server.connections)) {
+        if (connection.isIdle()) {
+          connection.close();
+        }
+      }
+    }
+  }
+
+  @Override
+  public void probe(String id) {
+    Server server = servers.get(id);
+    if (server != null) {
+      server.probe(transport.probeForLoad() ? Frames.PROBE_LOAD : Frames.PROBE);
+    }
+  }
+
+  /** Closes all connections. */
+  public void close() {
+    servers.values().forEach(server -> List.copyOf(server.connections).forEach(Connection::close));
+  }
+}
--- a/src/main/java/tidebank/sim/ActionCodec.java
+++ b/src/main/java/tidebank/sim/ActionCodec.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
+import tidebank.config.Json;
 import tidebank.model.Action;
 
 /** Writes the module's actions in the wire's words. */
--- a/src/main/java/tidebank/sim/EventCodec.java
+++ b/src/main/java/tidebank/sim/EventCodec.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
+import tidebank.config.Json;
+import tidebank.config.Malformed;
 import tidebank.model.Event;
 import tidebank.model.Event.ListKind;
 import tidebank.model.Event.Listed;
@@ -14,7 +16,7 @@
   private EventCodec() {}
 
   /** The event, or null where the wire's event means nothing to the module. */
-  static Event read(JsonNode message, List<List<Listed>> sheets) throws WireFault {
+  static Event read(JsonNode message, List<List<Listed>> sheets) throws Malformed {
     return switch (Json.text(message, "kind")) {
       case "Announce" -> announce(message, sheets);
       case "Knock" -> knock(message);
@@ -36,7 +38,7 @@
     };
   }
 
-  static List<Listed> sheet(JsonNode message) throws WireFault {
+  static List<Listed> sheet(JsonNode message) throws Malformed {
     List<Listed> entries = new ArrayList<>();
     for (JsonNode entry : Json.need(message, "items")) {
       entries.add(new Listed(
@@ -49,25 +51,25 @@
     return entries;
   }
 
-  private static Event announce(JsonNode message, List<List<Listed>> sheets) throws WireFault {
+  private static Event announce(JsonNode message, List<List<Listed>> sheets) throws Malformed {
     ListKind kind = switch (Json.text(message, "mode")) {
       case "incr" -> ListKind.CHANGES;
       case "total" -> ListKind.FULL;
       case "warm_copy" -> ListKind.REMEMBERED;
       case "lost" -> ListKind.LOST;
-      default -> throw new WireFault("unknown list mode '" + Json.text(message, "mode") + "'");
+      default -> throw new Malformed("unknown list mode '" + Json.text(message, "mode") + "'");
     };
     if (kind == ListKind.LOST) {
       return new Event.ListSeen(kind, List.of());
     }
     long page = Json.whole(message, "page");
     if (page < 0 || page >= sheets.size() || sheets.get((int) page) == null) {
-      throw new WireFault("list page " + page + " was never sent");
+      throw new Malformed("list page " + page + " was never sent");
     }
     return new Event.ListSeen(kind, sheets.get((int) page));
   }
 
-  private static Event knock(JsonNode message) throws WireFault {
+  private static Event knock(JsonNode message) throws Malformed {
     int shard = (int) Json.whole(message, "slab");
     String id = Json.text(message, "handle");
     long number = Json.whole(message, "jobNo");
@@ -85,7 +87,7 @@
         Json.text(message, "subject", ""));
   }
 
-  private static Outcome outcome(String disposition) throws WireFault {
+  private static Outcome outcome(String disposition) throws Malformed {
     return switch (disposition) {
       case "success" -> Outcome.COMPLETED;
       case "failure" -> Outcome.ERROR;
@@ -95,16 +97,16 @@
       case "broken" -> Outcome.BROKEN;
       case "withdrawn" -> Outcome.CANCELLED;
       case "void" -> Outcome.NEVER_SENT;
-      default -> throw new WireFault("unknown outcome '" + disposition + "'");
+      default -> throw new Malformed("unknown outcome '" + disposition + "'");
     };
   }
 
-  private static ServerStatus status(String status) throws WireFault {
+  private static ServerStatus status(String status) throws Malformed {
     return switch (status) {
       case "in_service" -> ServerStatus.IN_SERVICE;
       case "terminating" -> ServerStatus.DRAINING;
       case "terminated" -> ServerStatus.GONE;
-      default -> throw new WireFault("unknown server status '" + status + "'");
+      default -> throw new Malformed("unknown server status '" + status + "'");
     };
   }
 }
--- a/src/main/java/tidebank/sim/WireHost.java
+++ b/src/main/java/tidebank/sim/WireHost.java
@@ -17,6 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import tidebank.Brain;
+import tidebank.config.Json;
+import tidebank.config.Malformed;
+import tidebank.config.SettingsReader;
 import tidebank.model.Action;
 import tidebank.model.Event;
 import tidebank.model.Event.Listed;
@@ -45,15 +48,15 @@
     try {
       batch = mapper.readTree(line);
     } catch (JsonProcessingException fault) {
-      throw new WireFault("a line is not JSON: " + fault.getOriginalMessage());
+      throw new Malformed("a line is not JSON: " + fault.getOriginalMessage());
     }
     if (batch == null || !batch.isObject()) {
-      throw new WireFault("a line is no batch object");
+      throw new Malformed("a line is no batch object");
     }
     long now = Json.micros(batch, "simTimeMs");
     JsonNode messages = Json.need(batch, "msgs");
     if (!messages.isArray()) {
-      throw new WireFault("'msgs' is no array");
+      throw new Malformed("'msgs' is no array");
     }
     Map<Long, List<Event>> told = new LinkedHashMap<>();
     for (JsonNode message : messages) {
@@ -73,7 +76,7 @@
     if (kind.equals("Sheet")) {
       long page = Json.whole(message, "page");
       if (page < 0 || page >= PAGES) {
-        throw new WireFault("list page " + page + " is outside 0 to " + (PAGES - 1));
+        throw new Malformed("list page " + page + " is outside 0 to " + (PAGES - 1));
       }
       sheets.set((int) page, EventCodec.sheet(message));
       return;
@@ -81,7 +84,7 @@
     long instance = Json.whole(message, "who");
     if (kind.equals("Attach")) {
       JsonNode salt = Json.need(message, "salt");
-      instances.put(instance, new Brain(SettingsCodec.read(Json.need(message, "config")), salt.longValue()));
+      instances.put(instance, new Brain(SettingsReader.read(Json.need(message, "config")), salt.longValue()));
       told.put(instance, new ArrayList<>());
     } else if (kind.equals("Retire")) {
       instances.remove(instance);
@@ -89,7 +92,7 @@
     } else {
       Event event = EventCodec.read(message, sheets);
       if (!instances.containsKey(instance)) {
-        throw new WireFault("'" + kind + "' for instance " + instance + ", which was never attached");
+        throw new Malformed("'" + kind + "' for instance " + instance + ", which was never attached");
       }
       List<Event> events = told.computeIfAbsent(instance, absent -> new ArrayList<>());
       if (event != null) {
