--- a/src/main/java/tidebank/config/Json.java
+++ b/src/main/java/tidebank/config/Json.java
@@ -21,7 +21,7 @@
   public static String text(JsonNode node, String field) throws Malformed {
     JsonNode value = need(node, field);
     if (!value.isTextual()) {
-      throw new Malformed("field '" + field + "' is no text in " + brief(node));
+      throw new Malformed("field '" + field + "': found " + brief(value) + ", wanted a text");
     }
     return value.textValue();
   }
@@ -34,27 +34,30 @@
   public static double number(JsonNode node, String field) throws Malformed {
     JsonNode value = need(node, field);
     if (!value.isNumber()) {
-      throw new Malformed("field '" + field + "' is no number in " + brief(node));
+      throw new Malformed("field '" + field + "': found " + brief(value) + ", wanted a number");
     }
     return value.doubleValue();
   }
 
-  public static double number(JsonNode node, String field, double absent) {
+  public static double number(JsonNode node, String field, double absent) throws Malformed {
     JsonNode value = node.get(field);
-    return value == null || !value.isNumber() ? absent : value.doubleValue();
+    return value == null || value.isNull() ? absent : number(node, field);
   }
 
   public static long whole(JsonNode node, String field) throws Malformed {
     return (long) number(node, field);
   }
 
-  public static int whole(JsonNode node, String field, int absent) {
+  public static int whole(JsonNode node, String field, int absent) throws Malformed {
     return (int) number(node, field, absent);
   }
 
-  public static boolean flag(JsonNode node, String field) {
+  public static boolean flag(JsonNode node, String field) throws Malformed {
     JsonNode value = node.get(field);
-    return value != null && value.asBoolean();
+    if (value != null && !value.isNull() && !value.isBoolean()) {
+      throw new Malformed("field '" + field + "': found " + brief(value) + ", wanted true or false");
+    }
+    return value != null && value.booleanValue();
   }
 
   public static long micros(double ms) {
@@ -65,10 +68,19 @@
     return micros(number(node, field));
   }
 
-  public static long micros(JsonNode node, String field, double absentMs) {
+  public static long micros(JsonNode node, String field, double absentMs) throws Malformed {
     return micros(number(node, field, absentMs));
   }
 
+  /** A length of time, which is never below 0. */
+  public static long span(JsonNode node, String field, double absentMs) throws Malformed {
+    long span = micros(node, field, absentMs);
+    if (span < 0) {
+      throw new Malformed("field '" + field + "': found " + brief(node.get(field)) + ", wanted a number from 0");
+    }
+    return span;
+  }
+
   public static double millis(long micros) {
     return micros / US_PER_MS;
   }
--- a/src/main/java/tidebank/config/NodeConfig.java
+++ b/src/main/java/tidebank/config/NodeConfig.java
@@ -35,10 +35,10 @@
    * refusal and closed; past {@code clientsMost} none is accepted until one has gone.
    */
   public record Budgets(int clients, int clientsMost, int servers, int serverMost) {
-    /** An eighth stays with the virtual machine, an eighth with refusals, a quarter with shard servers. */
+    /** A quarter each for clients and for shard servers, an eighth for refusals; the rest stays free. */
     static Budgets of(int sockets) {
       int eighth = sockets / 8;
-      return new Budgets(4 * eighth, 5 * eighth, 2 * eighth, Math.max(1, eighth / 8));
+      return new Budgets(2 * eighth, 3 * eighth, 2 * eighth, Math.max(1, eighth / 8));
     }
   }
 
@@ -57,8 +57,8 @@
       JsonNode limits = settings.path("limits");
       long wait = Math.min(read.rules().askEveryUs(), 60 * SECOND_US);
       return new Transport(
-          Math.max(1000, Json.micros(limits, "connectTimeoutMs", 250)),
-          Json.micros(limits, "keepaliveMs", 15_000),
+          Math.max(1000, Json.span(limits, "connectTimeoutMs", 250)),
+          Json.span(limits, "keepaliveMs", 15_000),
           Math.max(1, Json.whole(limits, "maxStreams", 100)),
           Json.text(settings.path("report"), "how", "off").equals("on_probe"),
           BODY_MOST,
--- a/src/main/java/tidebank/config/SettingsReader.java
+++ b/src/main/java/tidebank/config/SettingsReader.java
@@ -33,7 +33,7 @@
     }
     return new Settings(
         Math.max(1, Json.whole(config, "instances", 1)),
-        Math.max(1, Json.micros(config, "tickMs", 1)),
+        Math.max(1, Json.span(config, "tickMs", 1)),
         types,
         allowances,
         Json.number(config, "overShareWorth", 1),
@@ -42,36 +42,36 @@
             Math.max(0, Json.whole(layout, "positions", 0)),
             Math.max(0, Json.whole(layout, "width", 0)),
             Math.max(1, Json.whole(layout, "bundleMax", 1)),
-            Json.micros(layout, "callMs", 0)),
+            Json.span(layout, "callMs", 0)),
         new Settings.Limits(
             Math.max(1, Json.whole(limits, "maxAttempts", 1)),
             Json.flag(limits, "secondCopies"),
             Json.flag(limits, "cancel"),
             Json.flag(limits, "mayProbe"),
             Json.flag(limits, "retryAfter"),
-            Json.micros(limits, "maxRetryAfterMs", 0),
+            Json.span(limits, "maxRetryAfterMs", 0),
             Json.whole(limits, "mostHeld", Integer.MAX_VALUE),
             Json.text(config, "discovery", "push").equals("ask")),
         new Settings.Rules(
-            Json.micros(rules, "answerSlackMs", 0),
-            Json.micros(rules, "askEveryMs", MS_NEVER),
-            Json.micros(rules, "stopSendingWithinMs", 0),
+            Json.span(rules, "answerSlackMs", 0),
+            Json.span(rules, "askEveryMs", MS_NEVER),
+            Json.span(rules, "stopSendingWithinMs", 0),
             Json.number(rules, "coldFrom", 0),
-            Json.micros(rules, "coldMs", 0),
+            Json.span(rules, "coldMs", 0),
             Json.number(rules, "fallMultiple", 1),
-            Json.micros(rules, "tipAfterMs", 0),
+            Json.span(rules, "tipAfterMs", 0),
             Json.number(rules, "freeResends", 0),
             Json.number(rules, "extraRatio", 0),
-            Json.micros(rules, "ratioSpanMs", 0)));
+            Json.span(rules, "ratioSpanMs", 0)));
   }
 
   private static TableType tableType(JsonNode service, JsonNode layout, int row) throws Malformed {
     return new TableType(
         Json.text(service, "name"),
         repeat(Json.text(service, "semantics", "")),
-        Json.micros(service, "windowMs", 0),
-        Json.micros(service, "onTimeMs", Json.number(service, "deadlineMs", 0)),
-        Json.micros(service, "deadlineMs", 0),
+        Json.span(service, "windowMs", 0),
+        Json.span(service, "onTimeMs", Json.number(service, "deadlineMs", 0)),
+        Json.span(service, "deadlineMs", 0),
         Json.number(service, "lateWorth", 0),
         perRow(layout, "floorByClass", row, 1),
         perRow(layout, "classNeed", row, 1),
--- a/src/main/java/tidebank/front/ClientConnection.java
+++ b/src/main/java/tidebank/front/ClientConnection.java
@@ -5,15 +5,16 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
+import tidebank.base.Log;
 import tidebank.front.ScanReader.Rejected;
 import tidebank.node.Alarms;
 import tidebank.node.ScanRequest;
@@ -21,6 +22,8 @@
 /** One client's connection. Requests that come before earlier ones are answered are answered in their order. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
   private static final int PIPELINE_MOST = 16;
+  private static final ChannelFutureListener END_OUTPUT =
+      done -> ((DuplexChannel) done.channel()).shutdownOutput();
 
   private final ClientSide side;
   private final boolean surplus;
@@ -29,6 +32,8 @@
   private Channel channel;
   private long headAt;
   private boolean ending;
+  /** The client still sends what is not wanted: ending at once would reset the response under way to it. */
+  private boolean lingering;
 
   ClientConnection(ClientSide side, boolean surplus) {
     this.side = side;
@@ -39,11 +44,6 @@
     return channel.alloc();
   }
 
-  /** Whether the connection ends with its next response. */
-  boolean closing() {
-    return surplus || ending || side.draining();
-  }
-
   boolean isIdle() {
     return exchanges.isEmpty() && headAt == 0;
   }
@@ -88,8 +88,24 @@
   }
 
   private void took(FullHttpRequest request, long at) {
-    Exchange exchange = new Exchange(this, HttpUtil.isKeepAlive(request));
+    Exchange exchange = new Exchange(this);
     exchanges.add(exchange);
+    ending = !HttpUtil.isKeepAlive(request);
+    try {
+      answer(exchange, request, at);
+    } catch (RuntimeException fault) {
+      side.counters.add("front.failed");
+      Log.error("a request failed", fault);
+      if (exchange.response == null) {
+        exchange.respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed");
+      }
+    }
+    if (exchanges.size() >= PIPELINE_MOST) {
+      channel.config().setAutoRead(false);
+    }
+  }
+
+  private void answer(Exchange exchange, FullHttpRequest request, long at) {
     if (request.decoderResult().isFailure()) {
       ending = true;
       side.counters.add("front.malformed");
@@ -107,9 +123,16 @@
     } else {
       scan(exchange, request, path, at);
     }
-    if (exchanges.size() >= PIPELINE_MOST) {
-      channel.config().setAutoRead(false);
-    }
+  }
+
+  /** A body beyond the bound: the rest of it is not read. */
+  void oversized() {
+    Exchange exchange = new Exchange(this);
+    exchanges.add(exchange);
+    ending = true;
+    lingering = true;
+    side.counters.add("front.rejected");
+    exchange.respond(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
   }
 
   private void health(Exchange exchange, String path) {
@@ -131,7 +154,7 @@
       exchange.respond(HttpResponseStatus.valueOf(fault.status), fault.getMessage());
       return;
     }
-    if (side.turn.holds(scan.id())) {
+    if (side.turn.holds(scan)) {
       side.counters.add("front.rejected");
       exchange.respond(HttpResponseStatus.BAD_REQUEST, "X-Correlation-Id is in use");
     } else if (side.turn.scanTaken(scan, exchange)) {
@@ -148,12 +171,12 @@
     boolean wrote = false;
     while (!exchanges.isEmpty() && exchanges.peek().response != null) {
       FullHttpResponse response = exchanges.poll().response;
-      boolean last = response.headers().containsValue(
-          HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+      boolean last = exchanges.isEmpty() && (surplus || ending || side.draining());
+      HttpUtil.setKeepAlive(response, !last);
       wrote = true;
       if (last) {
         ending = true;
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(response).addListener(lingering ? END_OUTPUT : ChannelFutureListener.CLOSE);
         return;
       }
       channel.write(response, channel.voidPromise());
@@ -175,10 +198,16 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    if (!(cause instanceof java.io.IOException)) {
-      side.counters.fault("front.failed", String.valueOf(cause));
+    if (cause instanceof IOException) {
+      context.close();
+      return;
+    }
+    // A fault of ours: what this connection still waits for is answered, then it ends.
+    side.counters.fault("front.failed", String.valueOf(cause));
+    ending = true;
+    if (exchanges.isEmpty()) {
+      context.close();
     }
-    context.close();
   }
 
   @Override
--- a/src/main/java/tidebank/front/ClientSide.java
+++ b/src/main/java/tidebank/front/ClientSide.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.LinkedHashSet;
@@ -73,7 +74,12 @@
           }
         },
         new HttpServerCodec(),
-        new HttpObjectAggregator(config.transport().bodyMost()),
+        new HttpObjectAggregator(config.transport().bodyMost()) {
+          @Override
+          protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage message) {
+            connection.oversized();
+          }
+        },
         connection);
     if (connections.size() >= config.budgets().clientsMost()) {
       listener.config().setAutoRead(false);
--- a/src/main/java/tidebank/front/Exchange.java
+++ b/src/main/java/tidebank/front/Exchange.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -23,14 +22,12 @@
   private static final JsonFactory JSON = new JsonFactory();
 
   private final ClientConnection connection;
-  final boolean keepAlive;
   /** The id of the scan that the turn took from it, or null. */
   String scan;
   FullHttpResponse response;
 
-  Exchange(ClientConnection connection, boolean keepAlive) {
+  Exchange(ClientConnection connection) {
     this.connection = connection;
-    this.keepAlive = keepAlive;
   }
 
   @Override
@@ -83,9 +80,6 @@
   private void finish(FullHttpResponse made, String type) {
     made.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
     made.headers().set(HttpHeaderNames.CONTENT_LENGTH, made.content().readableBytes());
-    if (!keepAlive || connection.closing()) {
-      made.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
     scan = null;
     response = made;
     connection.flush();
--- a/src/main/java/tidebank/front/ScanReader.java
+++ b/src/main/java/tidebank/front/ScanReader.java
@@ -62,6 +62,8 @@
     if (!predicate.isTextual()) {
       throw new Rejected(400, "predicate is missing or no text");
     }
+    // No client waits longer than its table type's query timeout, whatever it says.
+    limitAt = Math.min(limitAt, headAt + settings.tableTypes().get(type).timeoutUs());
     return new ScanRequest(id, type, request.headers().get("X-Account", ""), limitAt,
         request.headers().get("X-Repeat", "").equals("1"), predicate.textValue().getBytes(UTF_8),
         ranges(body.path("ranges")));
--- a/src/main/java/tidebank/node/Alarms.java
+++ b/src/main/java/tidebank/node/Alarms.java
@@ -5,6 +5,8 @@
 import java.util.Comparator;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import tidebank.base.Counters;
+import tidebank.base.Log;
 
 /** All that waits for a time, behind one wake-up of the event loop for the earliest. */
 public final class Alarms {
@@ -24,14 +26,16 @@
   private final TreeSet<Alarm> waiting = new TreeSet<>(EARLIEST);
   private final EventLoop loop;
   private final Clock clock;
+  private final Counters counters;
   private final Runnable wake = this::wake;
   private ScheduledFuture<?> wakeUp;
   private long wakeAt = Long.MAX_VALUE;
   private long orders;
 
-  public Alarms(EventLoop loop, Clock clock) {
+  public Alarms(EventLoop loop, Clock clock, Counters counters) {
     this.loop = loop;
     this.clock = clock;
+    this.counters = counters;
   }
 
   /** Sets an alarm, or moves it. */
@@ -70,7 +74,12 @@
     while (!waiting.isEmpty() && waiting.first().at <= now) {
       Alarm due = waiting.pollFirst();
       due.set = false;
-      due.ring();
+      try {
+        due.ring();
+      } catch (RuntimeException fault) {
+        counters.add("alarms.failed");
+        Log.error("an alarm failed", fault);
+      }
     }
     arm();
   }
--- a/src/main/java/tidebank/node/Gatherer.java
+++ b/src/main/java/tidebank/node/Gatherer.java
@@ -58,7 +58,7 @@
     NettyLog.install();
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = group.next();
-    alarms = new Alarms(loop, clock);
+    alarms = new Alarms(loop, clock, counters);
     turn = new Turn(config.settings(), config.seed(), clock, alarms, loop, counters);
     allocator = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER);
     Bootstrap out = new Bootstrap().group(group).channel(NioSocketChannel.class)
--- a/src/main/java/tidebank/node/HeldScan.java
+++ b/src/main/java/tidebank/node/HeldScan.java
@@ -41,7 +41,12 @@
     HeldPart(HeldScan scan, ScanRequest.Range range) {
       this.scan = scan;
       this.range = range;
-      this.id = scan.request.id() + '.' + range.shard();
+      this.id = id(scan.request, range);
+    }
+
+    /** The protocol's: the scan's id, a dot, the shard. */
+    static String id(ScanRequest request, ScanRequest.Range range) {
+      return request.id() + '.' + range.shard();
     }
   }
 }
--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -40,7 +40,7 @@
   private long numbers;
   private int held;
 
-  Turn(Settings settings, long seed, Clock clock, Alarms alarms, EventLoop loop, Counters counters) {
+  public Turn(Settings settings, long seed, Clock clock, Alarms alarms, EventLoop loop, Counters counters) {
     this.settings = settings;
     this.seed = seed;
     this.clock = clock;
@@ -50,19 +50,20 @@
     this.brain = new Brain(settings, seed);
   }
 
-  void connect(ShardPort shards, ListPort discovery) {
+  public void connect(ShardPort shards, ListPort discovery) {
     this.shards = shards;
     this.discovery = discovery;
   }
 
   // ---- what happened
 
-  /** A front took a scan. False: as much is held as the settings allow, or its id is; it was not taken. */
+  /** A front took a scan. False: as much is held as the settings allow; it was not taken. */
   public boolean scanTaken(ScanRequest request, Reply reply) {
     int more = 1 + request.ranges().size();
-    if (held > settings.limits().mostHeld() - more || scans.containsKey(request.id())) {
+    if (held > settings.limits().mostHeld() - more) {
       return false;
     }
+    counters.must(!holds(request), "an id is held once");
     HeldScan scan = new HeldScan(request, ++numbers, reply);
     held += more;
     scans.put(request.id(), scan);
@@ -75,9 +76,10 @@
     return true;
   }
 
-  /** Whether a scan of this id is held. */
-  public boolean holds(String id) {
-    return scans.containsKey(id);
+  /** Whether a scan of this id is held, or a part of it is still out. */
+  public boolean holds(ScanRequest request) {
+    return scans.containsKey(request.id())
+        || request.ranges().stream().anyMatch(range -> parts.containsKey(HeldPart.id(request, range)));
   }
 
   /** The client of a scan has left. */
@@ -109,6 +111,7 @@
   }
 
   public void probed(String server, Outcome outcome, long tookUs, Map<String, Double> report) {
+    counters.add("probes." + outcome.name().toLowerCase());
     tell(new Event.Probed(server, outcome, tookUs, report));
   }
 
@@ -238,7 +241,12 @@
     Order order = new Order(part, part.orders.size(), send.server(), part.scan.request.text(), send.stopAt(),
         clock.now());
     part.orders.add(order);
-    order.ticket = shards.send(order);
+    try {
+      order.ticket = shards.send(order);
+    } catch (RuntimeException fault) {
+      order.ended = true;
+      throw fault;
+    }
   }
 
   private void cancel(Order order) {
--- a/src/main/java/tidebank/shard/Connection.java
+++ b/src/main/java/tidebank/shard/Connection.java
@@ -125,6 +125,7 @@
   /** Tells the shard server that a part written to it is given up, where that is allowed. */
   void giveUp(Flight flight) {
     if (side.mayGiveUp && channel.isActive()) {
+      lastUsed = side.clock.now();
       channel.writeAndFlush(Frames.giveUp(channel.alloc(), flight.order.part), channel.voidPromise());
     }
   }
@@ -136,7 +137,6 @@
       calls.remove(flight.call);
       waiting.remove(flight.call);
       if (isIdle() && !closed) {
-        lastUsed = side.clock.now();
         side.alarms.set(idle, unusableFrom());
       }
     }
--- a/src/main/java/tidebank/shard/Frames.java
+++ b/src/main/java/tidebank/shard/Frames.java
@@ -60,7 +60,7 @@
     }
     String line = frame.readCharSequence(length, US_ASCII).toString();
     frame.skipBytes(1);
-    String[] words = line.split(" ", -1);
+    String[] words = line.split(" ", 4);
     if (words.length != 4 || words[0].isEmpty()) {
       throw new Malformed("an answer's line '" + line + "'");
     }
--- a/src/main/java/tidebank/shard/Server.java
+++ b/src/main/java/tidebank/shard/Server.java
@@ -53,6 +53,7 @@
     if (address == null || !side.mayOpen(this)) {
       side.counters.fault("shard.no-connection-to-spare", "server " + id);
       endAll(call, Outcome.UNREACHABLE);
+      side.forgetIfGone(this);
       return;
     }
     Connection connection = open();
--- a/src/main/java/tidebank/shard/ShardSide.java
+++ b/src/main/java/tidebank/shard/ShardSide.java
@@ -108,7 +108,7 @@
   }
 
   void forgetIfGone(Server server) {
-    if (server.gone && server.connections.isEmpty()) {
+    if ((server.gone || server.address == null) && server.connections.isEmpty()) {
       servers.remove(server.id, server);
     }
   }
--- /dev/null
+++ b/src/test/java/tidebank/GathererTest.java
@@ -0,0 +1,719 @@
+package tidebank;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static tidebank.FakeSite.FakeClient.post;
+import static tidebank.FakeSite.FakeClient.scan;
+import static tidebank.FakeSite.FakeShardServer.frame;
+
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.util.ResourceLeakDetector;
+import io.netty.util.ResourceLeakDetectorFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tidebank.FakeSite.FakeClient;
+import tidebank.FakeSite.FakeClient.Response;
+import tidebank.FakeSite.FakeShardServer;
+import tidebank.FakeSite.FakeShardServer.Frame;
+import tidebank.base.Log;
+
+/** A gatherer on sockets, between a client, shard servers and discovery that are stand-ins. */
+@Timeout(20)
+class GathererTest {
+  private static final Queue<String> LEAKS = new ConcurrentLinkedQueue<>();
+
+  private final FakeSite site = new FakeSite();
+
+  @BeforeAll
+  static void watchForLeaks() {
+    Log.level(Log.Level.WARN);
+    ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.PARANOID);
+    ResourceLeakDetectorFactory.setResourceLeakDetectorFactory(new ResourceLeakDetectorFactory() {
+      @Override
+      public <T> ResourceLeakDetector<T> newResourceLeakDetector(Class<T> resource, int interval, long most) {
+        return new ResourceLeakDetector<>(resource, interval) {
+          @Override
+          protected boolean needReport() {
+            return true;
+          }
+
+          @Override
+          protected void reportTracedLeak(String type, String records) {
+            LEAKS.add(type + records);
+          }
+
+          @Override
+          protected void reportUntracedLeak(String type) {
+            LEAKS.add(type);
+          }
+        };
+      }
+    });
+  }
+
+  @AfterAll
+  static void noBufferLeaks() {
+    PooledByteBufAllocator allocator = new PooledByteBufAllocator(true);
+    for (int i = 0; i < 10; i++) {
+      System.gc();
+      allocator.directBuffer(64).release();
+    }
+    assertThat(LEAKS).isEmpty();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    site.close();
+  }
+
+  private void silence() {
+    site.servers.forEach(server -> server.answers = false);
+  }
+
+  /** The next frame at any shard server. */
+  private Frame anyFrame() throws InterruptedException {
+    while (true) {
+      for (FakeShardServer server : site.servers) {
+        Frame frame = server.frames.poll();
+        if (frame != null) {
+          return frame;
+        }
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  private List<Frame> framesSoFar() {
+    List<Frame> frames = new ArrayList<>();
+    site.servers.forEach(server -> server.frames.drainTo(frames));
+    return frames;
+  }
+
+  // ---- a scan's way
+
+  @Test
+  void aScanGoesToHoldersOfItsShardsAndItsAnswerIsWholeOnAConnectionThatStays() throws Exception {
+    site.start();
+    try (FakeClient client = site.client()) {
+      Response first = client.ask(scan("whole", "a1", 2000, 0.5, 0.3, 0.1, 0.1));
+      assertThat(first.status()).isEqualTo(200);
+      assertThat(first.body()).isEqualTo("{\"total\":true,\"answers\":["
+          + "{\"range\":0,\"blob\":\"value of a1.0\"},{\"range\":1,\"blob\":\"value of a1.1\"},"
+          + "{\"range\":2,\"blob\":\"value of a1.2\"},{\"range\":3,\"blob\":\"value of a1.3\"}]}");
+      for (FakeShardServer server : site.servers) {
+        for (Frame frame : server.frames) {
+          assertThat(frame.rest()).matches("a1\\.([0-3]) \\1 d=(19\\d\\d|2000) 8\nc41e77d0");
+          int shard = frame.part().charAt(3) - '0';
+          assertThat(server.block).isIn(shard, (shard + 1) % 4);
+        }
+      }
+      assertThat(client.ask(scan("whole", "a2", 2000, 1)).body()).contains("value of a2.0");
+    }
+  }
+
+  @Test
+  void valuesArePassedOnByteForByte() throws Exception {
+    silence();
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.send(scan("whole", "a", 2000, 1));
+      anyFrame().answer("good", "quote \" back \\ line \n \u00e9 \u20ac");
+      assertThat(client.read().body()).contains("\"blob\":\"quote \\\" back \\\\ line \\n \u00e9 \u20ac\"");
+    }
+  }
+
+  @Test
+  void whatIsInAtTheTargetTimeIsAnsweredInPart() throws Exception {
+    silence();
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.send(scan("part", "a", 2500, 0.7, 0.3));
+      for (Frame frame = anyFrame(); ; frame = anyFrame()) {
+        if (frame.letter() == 'm' && frame.part().equals("a.0")) {
+          frame.answer("good", "x");
+          break;
+        }
+      }
+      assertThat(client.read().body())
+          .isEqualTo("{\"total\":false,\"answers\":[{\"range\":0,\"blob\":\"x\"}]}");
+    }
+  }
+
+  @Test
+  void aScanWhoseTimeIsNearlyGoneIsAnsweredAtOnceAndNothingIsSent() throws Exception {
+    site.start();
+    try (FakeClient client = site.client()) {
+      assertThat(client.ask(scan("once", "a", 5, 1)).status()).isEqualTo(503);
+      assertThat(client.ask(post("/once", "b", "900u", "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"\"}"))
+          .status()).isEqualTo(503);
+      assertThat(framesSoFar()).isEmpty();
+    }
+  }
+
+  @Test
+  void whatIsNeverAnsweredEndsBeforeTheClientsTime() throws Exception {
+    silence();
+    site.start();
+    try (FakeClient client = site.client()) {
+      long start = System.nanoTime();
+      assertThat(client.ask(scan("once", "a", 700, 1)).status()).isEqualTo(500);
+      assertThat((System.nanoTime() - start) / 1_000_000).isBetween(500L, 720L);
+    }
+  }
+
+  @Test
+  void refusalsNameATimeToComeBackWhereThatIsAllowed() throws Exception {
+    site.limits.putAll(java.util.Map.of("retryAfter", true, "maxRetryAfterMs", 300));
+    site.servers.forEach(server -> server.health = "Terminating");
+    site.start();
+    try (FakeClient client = site.client()) {
+      Response response = client.ask(scan("whole", "a", 2000, 1));
+      assertThat(response.status()).isEqualTo(503);
+      assertThat(response.headers()).containsEntry("Retry-After", "0.300");
+    }
+  }
+
+  @Test
+  void asManyAreHeldAsTheSettingsAllow() throws Exception {
+    site.limits.put("mostHeld", 5);
+    silence();
+    site.start();
+    try (FakeClient one = site.client(); FakeClient two = site.client()) {
+      one.send(scan("whole", "a", 2000, 0.5, 0.5));
+      anyFrame();
+      assertThat(two.ask(scan("whole", "b", 2000, 0.5, 0.5)).body()).contains("as much is held");
+      assertThat(two.ask(scan("whole", "c", 100, 1)).body()).contains("throttled");
+    }
+  }
+
+  @Test
+  void aClientThatLeavesEndsItsDispatches() throws Exception {
+    silence();
+    site.start();
+    FakeClient client = site.client();
+    client.send(scan("whole", "a", 2000, 1));
+    Frame sent = anyFrame();
+    client.close();
+    Frame next = anyFrame();
+    assertThat(next.letter()).isEqualTo('n');
+    assertThat(next.rest()).isEqualTo("a.0");
+    try (FakeClient other = site.client()) {
+      sent.answer("good", "too late");
+      other.send(scan("whole", "b", 2000, 1));
+      assertThat(anyFrame().part()).isEqualTo("b.0");
+    }
+  }
+
+  // ---- clients
+
+  @Test
+  void requestsMayBeCutAnywhereComeInChunksAndInOneWrite() throws Exception {
+    site.start();
+    try (FakeClient client = site.client()) {
+      for (char letter : scan("whole", "a", 2000, 1).toCharArray()) {
+        client.send(String.valueOf(letter));
+      }
+      assertThat(client.read().body()).contains("value of a.0");
+      String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"p\"}";
+      String head = post("/whole", "b", "2000000u", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+      assertThat(client.ask(head + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n").body())
+          .contains("value of b.0");
+    }
+  }
+
+  @Test
+  void pipelinedRequestsAreAnsweredInTheirOrder() throws Exception {
+    silence();
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.send(scan("whole", "a", 2000, 1) + scan("whole", "b", 2000, 0.5, 0.5).replace("\"range\":0", "\"range\":2")
+          + "GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n");
+      Frame held = null;
+      for (int parts = 0; parts < 3; parts++) {
+        Frame frame = anyFrame();
+        if (frame.part().startsWith("a")) {
+          held = frame;
+        } else {
+          frame.answer("good", "second");
+        }
+      }
+      held.answer("good", "first");
+      assertThat(client.read().body()).contains("first");
+      assertThat(client.read().body()).contains("second");
+      assertThat(client.read().body()).isEqualTo("ok\n");
+      assertThat(client.ended()).isTrue();
+    }
+  }
+
+  @Test
+  void whatIsNoScanIsRefusedPlainlyAndNothingIsSent() throws Exception {
+    site.start();
+    String one = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"p\"}";
+    String[][] cases = {
+        {"404", post("/unheard-of", "a", "10m", one)},
+        {"404", "GET /health/other HTTP/1.1\r\n\r\n"},
+        {"405", "GET /whole HTTP/1.1\r\n\r\n"},
+        {"400", post("/whole", "", "10m", one)},
+        {"400", post("/whole", "a b", "10m", one)},
+        {"400", post("/whole", "a", "", one)},
+        {"400", post("/whole", "a", "0m", one)},
+        {"400", post("/whole", "a", "-5m", one)},
+        {"400", post("/whole", "a", "10s", one)},
+        {"400", post("/whole", "a", "10m", "no JSON")},
+        {"400", post("/whole", "a", "10m", "")},
+        {"400", post("/whole", "a", "10m", "{\"ranges\":[],\"predicate\":\"p\"}")},
+        {"400", post("/whole", "a", "10m", "{\"ranges\":[{\"range\":0,\"portion\":1}]}")},
+        {"400", post("/whole", "a", "10m", one.replace("\"range\":0", "\"range\":4"))},
+        {"400", post("/whole", "a", "10m", one.replace("\"range\":0", "\"range\":-1"))},
+        {"400", post("/whole", "a", "10m", one.replace("\"portion\":1", "\"portion\":-0.5"))},
+        {"400", post("/whole", "a", "10m", one.replace("\"portion\":1", "\"portion\":1e300"))},
+        {"400", post("/whole", "a", "10m", one.replace("]", ",{\"range\":0,\"portion\":0}]"))},
+        {"413", post("/whole", "a", "10m", "x".repeat(66_000))},
+        {"400", "POST /whole HTTP/1.1\r\nno header\u0000at all\r\n\r\n"},
+        {"400", "GET /health/live HTTP/1.1\r\nBig: " + "x".repeat(20_000) + "\r\n\r\n"},
+        {"400", "nonsense\r\n\r\n"}};
+    for (String[] odd : cases) {
+      try (FakeClient client = site.client()) {
+        assertThat(client.ask(odd[1]).status()).as(odd[1].substring(0, Math.min(300, odd[1].length())))
+            .isEqualTo(Integer.parseInt(odd[0]));
+      }
+    }
+    assertThat(framesSoFar()).isEmpty();
+    try (FakeClient client = site.client()) {
+      assertThat(client.ask(scan("whole", "a", 2000, 1)).status()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void anIdThatIsInUseIsRefused() throws Exception {
+    silence();
+    site.start();
+    try (FakeClient one = site.client(); FakeClient two = site.client()) {
+      one.send(scan("whole", "a", 2000, 1));
+      Frame frame = anyFrame();
+      assertThat(two.ask(scan("whole", "a", 2000, 1)).status()).isEqualTo(400);
+      frame.answer("good", "x");
+      assertThat(one.read().status()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void connectionsBeyondTheBudgetAreRefusedPlainlyAndIdleOnesMakeRoom() throws Exception {
+    site.sockets = 128;
+    silence();
+    site.start();
+    List<FakeClient> busy = new ArrayList<>();
+    try (FakeClient idle = site.client()) {
+      assertThat(idle.ready()).isEqualTo(200);
+      for (int i = 0; i < 32; i++) {
+        FakeClient client = site.client();
+        busy.add(client);
+        client.send(scan("whole", "b" + i, 2900, 1));
+        anyFrame();
+      }
+      assertThat(idle.ended()).isTrue();
+      try (FakeClient surplus = site.client()) {
+        Response refused = surplus.ask(scan("whole", "c", 2000, 1));
+        assertThat(refused.status()).isEqualTo(503);
+        assertThat(refused.headers()).containsEntry("connection", "close");
+        assertThat(surplus.ended()).isTrue();
+      }
+    } finally {
+      for (FakeClient client : busy) {
+        client.close();
+      }
+    }
+    try (FakeClient again = site.client()) {
+      assertThat(again.ready()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void aRequestThatNeverComesWholeEndsItsConnectionOnceItIsOfNoUse() throws Exception {
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.send("POST /whole HTTP/1.1\r\nX-Corr");
+      assertThat(client.ended()).isTrue();
+    }
+  }
+
+  // ---- shard servers
+
+  @Test
+  void answersMayBeCutAnywhereAndJoined() throws Exception {
+    silence();
+    site.servers.forEach(server -> server.health = "Gone");
+    site.servers.get(1).health = "Ready";
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.send(scan("whole", "a", 2000, 0.5, 0.5));
+      FakeShardServer server = site.servers.get(1);
+      Frame one = server.next();
+      Frame two = server.next();
+      for (byte letter : frame('q', one.part() + " good 1 -\nv" + one.part())) {
+        one.raw(new byte[] {letter});
+      }
+      assertThat(client.socket.isClosed()).isFalse();
+      byte[] unknown = frame('q', "zz.9 good 1 -\nx");
+      byte[] last = frame('q', two.part() + " good 1 odd report=,\nv" + two.part());
+      byte[] joined = java.util.Arrays.copyOf(unknown, unknown.length + last.length);
+      System.arraycopy(last, 0, joined, unknown.length, last.length);
+      two.raw(joined);
+      assertThat(client.read().body()).contains("va.0").contains("va.1");
+      assertThat(server.accepted).hasValue(1);
+    }
+  }
+
+  @Test
+  void partsOfOneTurnShareACallUpToTheBundle() throws Exception {
+    site.bundleMost = 2;
+    silence();
+    site.servers.forEach(server -> server.health = "Gone");
+    site.servers.get(1).health = "Ready";
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.send(scan("whole", "a", 2000, 0.5, 0.5));
+      String rest = site.servers.get(1).next().rest();
+      assertThat(rest).matches("a\\.0 0 d=\\d+ 8\nc41e77d0a\\.1 1 d=\\d+ 8\nc41e77d0");
+    }
+  }
+
+  @Test
+  void aConnectionTakesNoMoreCallsThanTheSettingsSay() throws Exception {
+    site.limits.put("maxStreams", 1);
+    silence();
+    site.servers.forEach(server -> server.health = "Gone");
+    site.servers.get(1).health = "Ready";
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.send(scan("whole", "a", 2000, 0.5, 0.5));
+      Frame one = site.servers.get(1).next();
+      Frame two = site.servers.get(1).next();
+      assertThat(one.socket()).isNotSameAs(two.socket());
+    }
+  }
+
+  /** Sends a scan of this type whose one part is met by this; the part's further frames are answered. */
+  private interface Met {
+    void by(FakeShardServer server, Frame frame) throws Exception;
+  }
+
+  private Response met(String type, Met met) throws Exception {
+    silence();
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.send(scan(type, "a", 2500, 1));
+      Frame frame = anyFrame();
+      FakeShardServer first = site.servers.stream()
+          .filter(server -> server.sockets.contains(frame.socket())).findFirst().orElseThrow();
+      site.servers.forEach(server -> server.answers = true);
+      met.by(first, frame);
+      return client.read();
+    }
+  }
+
+  @Test
+  void aReplayablePartWhoseConnectionBreaksGoesToAnotherServer() throws Exception {
+    assertThat(met("whole", (server, frame) -> server.cut()).body()).contains("value of a.0");
+  }
+
+  @Test
+  void aNonReplayablePartThatMayHaveRunIsAbandonedAndNotSentAgain() throws Exception {
+    assertThat(met("once", (server, frame) -> server.cut()).status()).isEqualTo(500);
+    assertThat(framesSoFar()).isEmpty();
+  }
+
+  @Test
+  void aNonReplayablePartThatWasTurnedAwayGoesOn() throws Exception {
+    assertThat(met("once", (server, frame) -> frame.answer("later", "")).body()).contains("value of a.0");
+  }
+
+  @Test
+  void anErrorOfAReplayablePartGoesOn() throws Exception {
+    assertThat(met("whole", (server, frame) -> frame.answer("bad", "")).body()).contains("value of a.0");
+  }
+
+  @Test
+  void framesThatCannotBeReadEndTheirConnection() throws Exception {
+    silence();
+    site.start();
+    byte[][] odd = {{0, 0, 0, 0}, {-1, -1, -1, -1}, {127, 0, 0, 0, 'q'}, frame('x', "y"), frame('q', "no line"),
+        frame('q', "a.0 fine 1 -\n"), frame('q', "two words\n"), frame('r', "what was that"), frame('o', "good")};
+    for (int i = 0; i < odd.length; i++) {
+      try (FakeClient client = site.client()) {
+        client.send(scan("once", "a" + i, 2000, 1));
+        anyFrame().raw(odd[i]);
+        assertThat(client.read().status()).as("case " + i).isEqualTo(500);
+      }
+    }
+  }
+
+  @Test
+  void whereConnectionsAreRefusedNothingRanAndThePartGoesOn() throws Exception {
+    site.start();
+    site.servers.get(0).listener.close();
+    try (FakeClient client = site.client()) {
+      for (int i = 0; i < 8; i++) {
+        assertThat(client.ask(scan("once", "a" + i, 2000, 1)).body()).contains("value of a" + i);
+      }
+    }
+  }
+
+  @Test
+  void aConnectionThatNeverComesUpIsGivenUpAndItsPartGoesOn() throws Exception {
+    try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      List<Socket> queue = new ArrayList<>();
+      for (int i = 0; i < 2; i++) {
+        queue.add(new Socket("127.0.0.1", full.getLocalPort()));
+      }
+      site.servers.get(0).listener.close();
+      site.servers.get(0).listener = full;
+      site.start();
+      try (FakeClient client = site.client()) {
+        for (int i = 0; i < 8; i++) {
+          assertThat(client.ask(scan("once", "a" + i, 2000, 1)).body()).contains("value of a" + i);
+        }
+      }
+      for (Socket socket : queue) {
+        socket.close();
+      }
+    }
+  }
+
+  @Test
+  void aPartThatWaitsForAConnectionIsNeverWrittenOnceItsClientLeft() throws Exception {
+    try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      Socket one = new Socket("127.0.0.1", full.getLocalPort());
+      Socket two = new Socket("127.0.0.1", full.getLocalPort());
+      site.limits.put("connectTimeoutMs", 5000);
+      site.servers.forEach(server -> server.health = "Gone");
+      site.servers.get(1).health = "Ready";
+      site.servers.get(1).listener.close();
+      site.servers.get(1).listener = full;
+      site.start();
+      FakeClient client = site.client();
+      client.send(scan("whole", "gone", 2000, 1));
+      try (FakeClient other = site.client()) {
+        other.send(scan("whole", "here", 2900, 0.5, 0.5));
+        client.close();
+        try (FakeClient third = site.client()) {
+          // By its second answer the gatherer has also met what came before its first.
+          third.ready();
+          third.ready();
+        }
+        // Room for the connection that waits: its first frames are of the scan that is still wanted.
+        full.accept().close();
+        full.accept().close();
+        try (Socket up = full.accept()) {
+          up.setSoTimeout(FakeSite.WAIT_MS);
+          java.io.DataInputStream in = new java.io.DataInputStream(up.getInputStream());
+          assertThat(new String(in.readNBytes(in.readInt()), "UTF-8")).startsWith("mhere.");
+          assertThat(new String(in.readNBytes(in.readInt()), "UTF-8")).startsWith("mhere.");
+        }
+      }
+      one.close();
+      two.close();
+    }
+  }
+
+  @Test
+  void aConnectionIsNotUsedPastTheKeepAlive() throws Exception {
+    site.limits.putAll(java.util.Map.of("keepaliveMs", 400, "connectTimeoutMs", 100));
+    site.servers.forEach(server -> server.health = "Gone");
+    site.servers.get(1).health = "Ready";
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.ask(scan("whole", "a", 2000, 1));
+      FakeShardServer server = site.servers.get(1);
+      while (!server.sockets.isEmpty()) {
+        Thread.onSpinWait();
+      }
+      assertThat(client.ask(scan("whole", "b", 2000, 1)).body()).contains("value of b.0");
+      assertThat(server.accepted).hasValue(2);
+    }
+  }
+
+  // ---- discovery
+
+  @Test
+  void itIsReadyOnceItKnowsShardServers() throws Exception {
+    site.known = false;
+    site.discovery.instead = "";
+    site.start();
+    try (FakeClient client = site.client()) {
+      site.discovery.call("/registry/instances");
+      assertThat(client.ready()).isEqualTo(503);
+      site.discovery.instead = null;
+      site.discovery.cut();
+      site.discovery.call("after=41");
+      assertThat(client.ready()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void theListIsFetchedThenWatchedAndItsChangesKept() throws Exception {
+    site.start();
+    assertThat(site.discovery.call("")).isEqualTo("/registry/instances");
+    assertThat(site.discovery.call("")).isEqualTo("/registry/instances?after=41&wait_ms=2000");
+    site.discovery.change(site.servers.get(0), "Terminating");
+    site.discovery.call("after=42");
+    site.discovery.change(site.servers.get(2), "Gone");
+    site.discovery.call("after=43");
+    try (FakeClient client = site.client()) {
+      for (int i = 0; i < 8; i++) {
+        assertThat(client.ask(scan("whole", "a" + i, 2000, 0.5, 0.25, 0.125, 0.125)).status()).isEqualTo(200);
+      }
+    }
+    assertThat(site.servers.get(0).frames).isEmpty();
+    assertThat(site.servers.get(2).frames).isEmpty();
+    assertThat(site.servers.get(1).frames).isNotEmpty();
+  }
+
+  @Test
+  void aWatchWithoutNewsIsRenewed() throws Exception {
+    site.askEveryMs = 100;
+    site.start();
+    site.discovery.call("after=41&wait_ms=100");
+    site.discovery.call("after=41&wait_ms=100");
+    assertThat(site.discovery.accepted).hasValue(1);
+  }
+
+  @Test
+  void aServerThatCameBackUnderANewAddressIsMetThere() throws Exception {
+    site.servers.forEach(server -> server.health = "Gone");
+    FakeShardServer moved = site.servers.get(1);
+    moved.health = "Ready";
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.ask(scan("whole", "a", 2000, 1));
+      ServerSocket old = moved.listener;
+      moved.reopen();
+      site.discovery.call("after=41");
+      site.discovery.change(moved, "Ready");
+      site.discovery.call("after=42");
+      assertThat(client.ask(scan("whole", "b", 2000, 1)).status()).isEqualTo(200);
+      assertThat(moved.accepted).hasValue(2);
+      assertThat(moved.frames.stream().map(f -> f.socket().getLocalPort()).distinct()).hasSize(2);
+      old.close();
+    }
+  }
+
+  @Test
+  void aCallOfDiscoveryThatFailsLeavesTheListAndIsMadeAgain() throws Exception {
+    String[] failures = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "no HTTP at all\r\n\r\n",
+        FakeSite.FakeDiscovery.http("no JSON"), FakeSite.FakeDiscovery.http("{\"seq\":1,\"whole\":true}"),
+        FakeSite.FakeDiscovery.http(site.discovery.list(true).replace("Ready", "Fine")),
+        FakeSite.FakeDiscovery.http(site.discovery.list(true).replace("s1", "s0")),
+        FakeSite.FakeDiscovery.http(site.discovery.list(true).replace("127.0.0.1", "nowhere")),
+        FakeSite.FakeDiscovery.http(site.discovery.list(false))};
+    site.discovery.instead = failures[0];
+    site.askEveryMs = 200;
+    site.start();
+    try (FakeClient client = site.client()) {
+      for (String failure : failures) {
+        site.discovery.instead = failure;
+        site.discovery.calls.clear();
+        site.discovery.call("/registry/instances");
+        site.discovery.call("/registry/instances");
+        assertThat(client.ask(scan("whole", "a" + failure.hashCode(), 2000, 1)).status()).isEqualTo(200);
+      }
+      site.discovery.instead = null;
+      site.discovery.call("after=41");
+    }
+  }
+
+  @Test
+  void aVersionThatGoesBackStartsTheListAnew() throws Exception {
+    site.start();
+    site.discovery.call("after=41");
+    site.discovery.instead = FakeSite.FakeDiscovery.http(site.discovery.list(false).replace("41", "7"));
+    site.discovery.change(site.servers.get(3), "Ready");
+    site.discovery.call("after=42");
+    site.discovery.instead = null;
+    assertThat(site.discovery.call("")).isEqualTo("/registry/instances");
+  }
+
+  // ---- the program
+
+  private FakeClient program() throws Exception {
+    Process program = site.program(java.util.Map.of("NODE_CONFIG", site.configFile().toString(), "NODE_NAME", "n7",
+        "NODE_LISTEN", "127.0.0.1:0", "NODE_DISCOVERY", site.discovery.address()), "serve");
+    for (String line = site.errors.readLine(); ; line = site.errors.readLine()) {
+      if (line.contains("gatherer n7 listens on")) {
+        String port = line.replaceAll(".*127.0.0.1:(\\d+).*", "$1");
+        assertThat(program.isAlive()).isTrue();
+        return new FakeClient(new InetSocketAddress("127.0.0.1", Integer.parseInt(port)));
+      }
+    }
+  }
+
+  @Test
+  void onSigtermStragglersAreServedWhatWasTakenIsAnsweredAndTheProgramExitsWith0() throws Exception {
+    silence();
+    try (FakeClient held = program(); FakeClient kept = held.again(); FakeClient idle = held.again()) {
+      assertThat(kept.ready()).isEqualTo(200);
+      assertThat(idle.ready()).isEqualTo(200);
+      held.send(scan("whole", "held", 2900, 1));
+      Frame frame = anyFrame();
+      site.process.toHandle().destroy();
+      while (site.errors.readLine().indexOf("stopping") < 0) {
+        assertThat(site.process.isAlive()).isTrue();
+      }
+      site.servers.forEach(server -> server.answers = true);
+      try (FakeClient straggler = held.again(); FakeClient asks = held.again()) {
+        assertThat(asks.ready()).isEqualTo(503);
+        assertThat(straggler.ask(scan("whole", "late", 2000, 1)).headers()).containsEntry("connection", "close");
+        assertThat(straggler.ended()).isTrue();
+      }
+      Response last = kept.ask(scan("whole", "kept", 2000, 1));
+      assertThat(last.status()).isEqualTo(200);
+      assertThat(idle.ended()).isTrue();
+      frame.answer("good", "worth the wait");
+      assertThat(held.read().body()).contains("worth the wait");
+      assertThat(site.process.waitFor()).isZero();
+      assertThat(site.errors.lines().filter(line -> line.contains("ERROR"))).isEmpty();
+    }
+  }
+
+  @Test
+  void whatIsHeldEndsWithTheProgramAndANewOneServesUnderTheSameAddress() throws Exception {
+    silence();
+    try (FakeClient client = program()) {
+      client.send(scan("whole", "a", 2900, 1));
+      anyFrame();
+      site.process.destroyForcibly().waitFor();
+      site.file.put("listen", "127.0.0.1:" + client.socket.getPort());
+      site.servers.forEach(server -> server.answers = true);
+      site.discovery.instead = "";
+      site.start();
+      try (FakeClient again = site.client()) {
+        assertThat(again.ask(scan("whole", "a", 2000, 1)).status()).isEqualTo(200);
+      }
+    }
+  }
+
+  @Test
+  void wrongArgumentsAndAWrongConfigurationStopTheStartWithOneLine() throws Exception {
+    assertThat(site.program(java.util.Map.of()).waitFor()).isEqualTo(2);
+    assertThat(site.errors.readLine()).isEqualTo("usage: java -jar tidebank.jar serve | wirehost");
+    assertThat(site.program(java.util.Map.of("NODE_CONFIG", "/nowhere"), "serve").waitFor()).isEqualTo(2);
+    assertThat(site.errors.lines())
+        .containsExactly("tidebank: NODE_CONFIG: found /nowhere, wanted a file that can be read");
+    try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      site.file.put("listen", "127.0.0.1:" + taken.getLocalPort());
+      assertThat(site.program(java.util.Map.of("NODE_CONFIG", site.configFile().toString()), "serve").waitFor())
+          .isEqualTo(1);
+      assertThat(site.errors.readLine()).contains("cannot listen on").contains("in use");
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/tidebank/TurnTest.java
@@ -0,0 +1,154 @@
+package tidebank;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tidebank.FakeSite.FakeShardServer;
+import tidebank.FakeSite.FakeShardServer.Frame;
+import tidebank.base.Counters;
+import tidebank.config.NodeConfig;
+import tidebank.discovery.ListReader;
+import tidebank.model.Event.ListKind;
+import tidebank.node.Alarms;
+import tidebank.node.Clock;
+import tidebank.node.Order;
+import tidebank.node.Reply;
+import tidebank.node.ScanRequest;
+import tidebank.node.ShardPort;
+import tidebank.node.Turn;
+import tidebank.shard.ShardSide;
+
+/** The turn and the shard side by themselves, on a loop of their own. */
+@Timeout(20)
+class TurnTest implements Reply {
+  private final FakeSite site = new FakeSite();
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final Counters counters = new Counters();
+  private final Clock clock = new Clock();
+  private final Alarms alarms = new Alarms(loop, clock, counters);
+  private final List<String> replies = new ArrayList<>();
+  private NodeConfig config;
+  private Turn turn;
+
+  @BeforeEach
+  void begin() throws Exception {
+    config = NodeConfig.read(Map.of("NODE_CONFIG", site.configFile().toString()));
+    turn = new Turn(config.settings(), 7, clock, alarms, loop, counters);
+  }
+
+  @AfterEach
+  void end() throws Exception {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    site.close();
+  }
+
+  @Override
+  public void answered(boolean whole, List<Value> values) {
+    replies.add("answered");
+  }
+
+  @Override
+  public void throttled(long holdOffUs) {
+    replies.add("throttled");
+  }
+
+  @Override
+  public void abandoned() {
+    replies.add("abandoned");
+  }
+
+  private <T> T onLoop(Callable<T> task) throws Exception {
+    return loop.submit(task).get();
+  }
+
+  private void list() throws Exception {
+    var known = ListReader.read(config.known()).members();
+    onLoop(() -> {
+      turn.listSeen(ListKind.REMEMBERED, known);
+      return null;
+    });
+  }
+
+  private void counted(String name, long times) throws Exception {
+    while (onLoop(() -> counters.get(name)) < times) {
+      Thread.onSpinWait();
+    }
+  }
+
+  @Test
+  void aFailureInATurnAbandonsWhatIsHeldAndTheNextScanIsServed() throws Exception {
+    boolean[] fails = {true};
+    turn.connect(new ShardPort() {
+      @Override
+      public void listed(List<Member> members, boolean full) {}
+
+      @Override
+      public Order.Ticket send(Order order) {
+        if (fails[0]) {
+          throw new IllegalStateException("as the test wants it");
+        }
+        turn.dispatchEnded(order, tidebank.model.Outcome.COMPLETED, new byte[0], Map.of());
+        return null;
+      }
+
+      @Override
+      public void flush() {}
+
+      @Override
+      public void closeIdle(String server) {}
+
+      @Override
+      public void probe(String server) {}
+    }, on -> { });
+    list();
+    for (String id : List.of("a", "b")) {
+      ScanRequest request = new ScanRequest(id, "whole", "", clock.now() + 2_000_000, false, new byte[0],
+          List.of(new ScanRequest.Range(0, 1, "")));
+      assertThat(onLoop(() -> turn.scanTaken(request, this))).isTrue();
+      counted(id.equals("a") ? "turns.failed" : "scans.whole", 1);
+      fails[0] = false;
+    }
+    assertThat(replies).containsExactly("abandoned", "answered");
+  }
+
+  @Test
+  void probesAreAnsweredInTurnAndOneThatIsNotEndsItsConnection() throws Exception {
+    ShardSide shards = new ShardSide(config, new Bootstrap().group(group).channel(NioSocketChannel.class), turn,
+        clock, alarms, counters);
+    turn.connect(shards, on -> { });
+    list();
+    FakeShardServer server = site.servers.get(0);
+    String[][] ends = {{"util=0.5,inflight=3", "probes.completed"}, {"-", "probes.completed"}, {"bad", "probes.error"}};
+    for (int i = 0; i < ends.length; i++) {
+      onLoop(() -> {
+        shards.probe("s0");
+        return null;
+      });
+      Frame frame = server.next();
+      assertThat(frame.letter()).isEqualTo('p');
+      frame.raw(FakeShardServer.frame('p', ends[i][0]));
+      counted(ends[i][1], i == 1 ? 2 : 1);
+    }
+    onLoop(() -> {
+      shards.probe("s0");
+      return null;
+    });
+    counted("probes.timed_out", 1);
+    assertThat(server.accepted).hasValue(1);
+  }
+}
