--- a/src/main/java/tidebank/discovery/DiscoverySide.java
+++ b/src/main/java/tidebank/discovery/DiscoverySide.java
@@ -34,7 +34,9 @@
 
 /**
  * Watches discovery on one connection: the whole list first, then calls that wait for changes, each renewed at once.
- * Any call that fails, in whatever way, ends the watch and is told; when to begin again is not decided here.
+ * Any call that fails, in whatever way, ends the watch and is told; when to begin again is not decided here. Where
+ * the settings promise that changes come unasked, this side keeps that promise: it begins by itself, and again a
+ * connect time-out after each failure.
  */
 public final class DiscoverySide implements ListPort {
   private static final String PATH = "/registry/instances";
@@ -48,6 +50,8 @@
   private final Alarms alarms;
   private final Counters counters;
   private final Alarms.Alarm late = new LateAlarm();
+  private final Alarms.Alarm again = new AgainAlarm();
+  private final boolean unasked;
   private Link link;
   private boolean following;
   /** The version that the watch has come to; below 0: none yet. */
@@ -57,6 +61,7 @@
       Counters counters) {
     this.transport = config.transport();
     this.address = config.discovery();
+    this.unasked = !config.settings().limits().listOnRequest();
     this.template = template;
     this.turn = turn;
     this.clock = clock;
@@ -64,6 +69,13 @@
     this.counters = counters;
   }
 
+  /** Begins by itself where the settings promise that. */
+  public void begin() {
+    if (unasked) {
+      follow(true);
+    }
+  }
+
   @Override
   public void follow(boolean on) {
     close();
@@ -78,6 +90,7 @@
   public void close() {
     following = false;
     alarms.clear(late);
+    alarms.clear(again);
     Link old = link;
     link = null;
     if (old != null && old.channel != null) {
@@ -103,7 +116,11 @@
       counters.add("list.calls-failed");
       Log.info("the watch on discovery is lost: " + why);
       close();
-      turn.listSeen(ListKind.LOST, List.of());
+      if (unasked) {
+        alarms.set(again, clock.now() + transport.connectTimeoutUs());
+      } else {
+        turn.listSeen(ListKind.LOST, List.of());
+      }
     }
   }
 
@@ -211,6 +228,13 @@
     }
   }
 
+  private final class AgainAlarm extends Alarms.Alarm {
+    @Override
+    protected void ring() {
+      follow(true);
+    }
+  }
+
   private final class LateAlarm extends Alarms.Alarm {
     @Override
     protected void ring() {
--- a/src/main/java/tidebank/node/Gatherer.java
+++ b/src/main/java/tidebank/node/Gatherer.java
@@ -92,7 +92,10 @@
         .childOption(ChannelOption.ALLOCATOR, allocator)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH));
-    loop.submit(() -> turn.listSeen(ListKind.REMEMBERED, known.members())).syncUninterruptibly();
+    loop.submit(() -> {
+      turn.listSeen(ListKind.REMEMBERED, known.members());
+      discovery.begin();
+    }).syncUninterruptibly();
     ChannelFuture binding = clients.listen(in).awaitUninterruptibly();
     if (!binding.isSuccess()) {
       throw new IOException("cannot listen on " + config.listen() + ": " + binding.cause().getMessage());
--- a/src/test/java/tidebank/FakeHost.java
+++ b/src/test/java/tidebank/FakeHost.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -187,6 +188,7 @@
   int bundleMost = 1;
   int askEveryMs = 2000;
   boolean known = true;
+  String mode = "ask";
   private Gatherer gatherer;
   Process process;
   BufferedReader errors;
@@ -205,7 +207,7 @@
 
   String config() {
     file.put("discovery", discovery.address());
-    String settings = "{'instances':2,'tickMs':5,'discovery':'ask','services':[" + type("whole", "read_like", 0.1) + ","
+    String settings = "{'instances':2,'tickMs':5,'discovery':'" + mode + "','services':[" + type("whole", "read_like", 0.1) + ","
         + type("part", "read_like", 0) + "," + type("once", "non_idempotent", 0.3) + "],'specifics':{'slices':4,"
         + "'positions':4,'width':2,'bundleMax':" + bundleMost + ",'floorByClass':[1,0.5,1],'classNeed':[1,1,1]},"
         + "'limits':" + json(limits) + ",'guarantees':{'answerSlackMs':20,'askEveryMs':" + askEveryMs
@@ -325,7 +327,11 @@
 
     void cut() throws IOException {
       for (Socket socket : sockets) {
-        socket.setSoLinger(true, 0);
+        try {
+          socket.setSoLinger(true, 0);
+        } catch (SocketException closed) {
+          // The gatherer was first.
+        }
         socket.close();
       }
     }
--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -632,6 +632,20 @@
     }
   }
 
+  @Test
+  void whereChangesComeUnaskedTheWatchIsKeptWithoutTheModule() throws Exception {
+    site.mode = "push";
+    site.discovery.instead = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    site.start();
+    site.discovery.call("/registry/instances");
+    site.discovery.instead = null;
+    site.discovery.call("after=41");
+    site.discovery.change(site.servers.get(0), "Gone");
+    site.discovery.call("after=42");
+    site.discovery.cut();
+    site.discovery.call("after=42");
+  }
+
   @Test
   void aVersionThatGoesBackStartsTheListAnew() throws Exception {
     site.start();
