--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -69,7 +69,7 @@
     scans.put(request.id(), scan);
     parts.putAll(scan.parts);
     tell(new Event.ScanTaken(request.id(), scan.number, request.type(), request.account(), request.limitAt(),
-        request.resent(), ""));
+        request.resent(), request.key()));
     for (HeldPart part : scan.parts.values()) {
       tell(new Event.PartTaken(part.id, scan.number, part.range.shard(), part.range.weight(), part.range.key()));
     }
--- a/src/main/java/tidebank/shard/Connection.java
+++ b/src/main/java/tidebank/shard/Connection.java
@@ -122,6 +122,14 @@
     write();
   }
 
+  /** A frame that is stuck half way may begin or go on only by leaving the connection open. */
+  void stopWriting() {
+    if (writing != null) {
+      side.counters.add("shard.closed-while-writing");
+      close();
+    }
+  }
+
   /** Tells the shard server that a part written to it is given up, where that is allowed. */
   void giveUp(Flight flight) {
     if (side.mayGiveUp && channel.isActive()) {
--- a/src/main/java/tidebank/shard/Flight.java
+++ b/src/main/java/tidebank/shard/Flight.java
@@ -47,6 +47,8 @@
   public void dropUnsent() {
     if (stage == Stage.WAITING) {
       call.server.end(this, Outcome.NEVER_SENT, null);
+    } else if (stage == Stage.WRITING) {
+      call.connection.stopWriting();
     }
   }
 }
--- a/src/main/java/tidebank/shard/Server.java
+++ b/src/main/java/tidebank/shard/Server.java
@@ -5,10 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import tidebank.model.Outcome;
+import tidebank.node.Alarms;
 import tidebank.node.Order;
 
 /** What is kept for one shard server: its address, its connections, this turn's calls and its drain. */
-final class Server {
+final class Server extends Alarms.Alarm {
   final String id;
   final ShardSide side;
   final List<Connection> connections = new ArrayList<>();
@@ -23,6 +24,22 @@
     this.side = side;
   }
 
+  void closeFrom(long at) {
+    closedFrom = at;
+    side.alarms.set(this, at);
+  }
+
+  void openAgain() {
+    closedFrom = Long.MAX_VALUE;
+    side.alarms.clear(this);
+  }
+
+  /** Its drain grace is over. */
+  @Override
+  protected void ring() {
+    List.copyOf(connections).forEach(Connection::stopWriting);
+  }
+
   /** Takes a part into this turn's call. */
   Flight gather(Order order) {
     if (gathering == null || gathering.flights.size() >= side.bundleMost()) {
--- a/src/main/java/tidebank/shard/ShardSide.java
+++ b/src/main/java/tidebank/shard/ShardSide.java
@@ -82,7 +82,7 @@
       named.add(id);
       Server server = servers.computeIfAbsent(id, absent -> new Server(id, this));
       if (member.line().status() == ServerStatus.IN_SERVICE) {
-        server.closedFrom = Long.MAX_VALUE;
+        server.openAgain();
         server.gone = false;
         if (!member.address().equals(server.address)) {
           server.address = member.address();
@@ -102,7 +102,7 @@
   }
 
   private void leaves(Server server, long now, boolean gone) {
-    server.closedFrom = Math.min(server.closedFrom, now + config.settings().rules().drainGraceUs());
+    server.closeFrom(Math.min(server.closedFrom, now + config.settings().rules().drainGraceUs()));
     server.gone = gone;
     forgetIfGone(server);
   }
--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -526,6 +526,43 @@
     }
   }
 
+  @Test
+  void aFrameThatIsStuckHalfWayEndsItsConnectionOnceItsScanIsAnswered() throws Exception {
+    try (ServerSocket deaf = new ServerSocket()) {
+      deaf.setReceiveBufferSize(4096);
+      deaf.bind(new InetSocketAddress("127.0.0.1", 0));
+      site.servers.forEach(server -> server.health = "Gone");
+      FakeShardServer server = site.servers.get(1);
+      server.health = "Ready";
+      server.listener.close();
+      server.listener = deaf;
+      site.limits.put("mostHeld", 1000);
+      site.start();
+      List<FakeClient> clients = new ArrayList<>();
+      String large = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"" + "x".repeat(60_000) + "\"}";
+      for (int i = 0; i < 100; i++) {
+        clients.add(site.client().send(post("/once", "a" + i, "1000m", large)));
+      }
+      try (Socket socket = deaf.accept()) {
+        for (FakeClient client : clients) {
+          assertThat(client.read().status()).isIn(500, 503);
+          client.close();
+        }
+        socket.setSoTimeout(FakeSite.WAIT_MS);
+        // What was written whole can be read now; then the connection ends inside the frame that was stuck.
+        java.io.DataInputStream in = new java.io.DataInputStream(socket.getInputStream());
+        int parts = 0;
+        try {
+          for (byte[] frame = in.readNBytes(in.readInt()); ; frame = in.readNBytes(in.readInt())) {
+            parts += frame[0] == 'm' && frame.length > 60_000 ? 1 : 0;
+          }
+        } catch (java.io.EOFException | java.net.SocketException ended) {
+          assertThat(parts).isLessThan(100);
+        }
+      }
+    }
+  }
+
   @Test
   void aConnectionIsNotUsedPastTheKeepAlive() throws Exception {
     site.limits.putAll(java.util.Map.of("keepaliveMs", 400, "connectTimeoutMs", 100));
