--- a/src/main/java/tidebank/front/ClientConnection.java
+++ b/src/main/java/tidebank/front/ClientConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
@@ -75,7 +76,10 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
-      if (!ending && message instanceof FullHttpRequest request) {
+      if (!ending && surplus && message instanceof HttpRequest) {
+        side.counters.add("front.refused-connections");
+        refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections");
+      } else if (!ending && message instanceof FullHttpRequest request) {
         begun();
         side.alarms.clear(slow);
         long at = headAt;
@@ -93,7 +97,7 @@
     ending = !HttpUtil.isKeepAlive(request);
     try {
       answer(exchange, request, at);
-    } catch (RuntimeException fault) {
+    } catch (RuntimeException | VirtualMachineError fault) {
       side.counters.add("front.failed");
       Log.error("a request failed", fault);
       if (exchange.response == null) {
@@ -117,22 +121,24 @@
       health(exchange, path);
     } else if (!request.method().equals(HttpMethod.POST)) {
       exchange.respond(HttpResponseStatus.METHOD_NOT_ALLOWED, "scans come by POST");
-    } else if (surplus) {
-      side.counters.add("front.refused-connections");
-      exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections");
     } else {
       scan(exchange, request, path, at);
     }
   }
 
-  /** A body beyond the bound: the rest of it is not read. */
+  /** A body beyond the bound. */
   void oversized() {
+    side.counters.add("front.rejected");
+    refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+  }
+
+  /** Answers a request whose body is not kept: what still comes of it is read and dropped. */
+  private void refuse(HttpResponseStatus status, String text) {
     Exchange exchange = new Exchange(this);
     exchanges.add(exchange);
     ending = true;
     lingering = true;
-    side.counters.add("front.rejected");
-    exchange.respond(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+    exchange.respond(status, text);
   }
 
   private void health(Exchange exchange, String path) {
--- a/src/main/java/tidebank/front/ClientSide.java
+++ b/src/main/java/tidebank/front/ClientSide.java
@@ -73,19 +73,25 @@
             context.fireChannelRead(message);
           }
         },
-        new HttpServerCodec(),
-        new HttpObjectAggregator(config.transport().bodyMost()) {
-          @Override
-          protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage message) {
-            connection.oversized();
-          }
-        },
-        connection);
+        new HttpServerCodec());
+    if (!surplus) {
+      channel.pipeline().addLast(bodies(connection));
+    }
+    channel.pipeline().addLast(connection);
     if (connections.size() >= config.budgets().clientsMost()) {
       listener.config().setAutoRead(false);
     }
   }
 
+  private HttpObjectAggregator bodies(ClientConnection connection) {
+    return new HttpObjectAggregator(config.transport().bodyMost()) {
+      @Override
+      protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage message) {
+        connection.oversized();
+      }
+    };
+  }
+
   private boolean closeOneIdle() {
     for (ClientConnection connection : connections) {
       if (connection.isIdle()) {
--- a/src/main/java/tidebank/node/Alarms.java
+++ b/src/main/java/tidebank/node/Alarms.java
@@ -76,7 +76,7 @@
       due.set = false;
       try {
         due.ring();
-      } catch (RuntimeException fault) {
+      } catch (RuntimeException | VirtualMachineError fault) {
         counters.add("alarms.failed");
         Log.error("an alarm failed", fault);
       }
--- a/src/main/java/tidebank/node/Gatherer.java
+++ b/src/main/java/tidebank/node/Gatherer.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -36,6 +37,10 @@
   private static final int CHUNK_ORDER = 6;
   private static final int WRITE_LOW = 32 * 1024;
   private static final int WRITE_HIGH = 128 * 1024;
+  /** A body keeps the buffers that it was read into, so these are small. */
+  private static final int READ_LEAST = 64;
+  private static final int READ_FIRST = 2048;
+  private static final int READ_MOST = 16 * 1024;
   private static final long REPORT_US = 60_000_000;
 
   private final NodeConfig config;
@@ -91,6 +96,7 @@
         .option(ChannelOption.SO_BACKLOG, config.budgets().clients())
         .childOption(ChannelOption.ALLOCATOR, allocator)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(READ_LEAST, READ_FIRST, READ_MOST))
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH));
     loop.submit(() -> {
       turn.listSeen(ListKind.REMEMBERED, known.members());
--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -164,7 +164,7 @@
         carryOut(action);
       }
       shards.flush();
-    } catch (RuntimeException fault) {
+    } catch (RuntimeException | VirtualMachineError fault) {
       Log.error("module or turn failed; all that is held is abandoned", fault);
       counters.add("turns.failed");
       startOver();
@@ -243,7 +243,7 @@
     part.orders.add(order);
     try {
       order.ticket = shards.send(order);
-    } catch (RuntimeException fault) {
+    } catch (RuntimeException | VirtualMachineError fault) {
       order.ended = true;
       throw fault;
     }
--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -322,6 +322,11 @@
         anyFrame();
       }
       assertThat(idle.ended()).isTrue();
+      try (FakeClient surplus = site.client()) {
+        // Refused by its head: what a connection beyond the budget sends is not kept.
+        surplus.send(post("/whole", "d", "10m", "x".repeat(9000)).substring(0, 300));
+        assertThat(surplus.read().status()).isEqualTo(503);
+      }
       try (FakeClient surplus = site.client()) {
         Response refused = surplus.ask(scan("whole", "c", 2000, 1));
         assertThat(refused.status()).isEqualTo(503);
--- a/src/test/java/tidebank/TurnTest.java
+++ b/src/test/java/tidebank/TurnTest.java
@@ -47,6 +47,7 @@
 
   @BeforeEach
   void begin() throws Exception {
+    site.limits.put("connectTimeoutMs", 2000);
     config = NodeConfig.read(Map.of("NODE_CONFIG", site.configFile().toString()));
     turn = new Turn(config.settings(), 7, clock, alarms, loop, counters);
   }
@@ -100,7 +101,7 @@
       @Override
       public Order.Ticket send(Order order) {
         if (fails[0]) {
-          throw new IllegalStateException("as the test wants it");
+          throw new OutOfMemoryError("as the test wants it");
         }
         turn.dispatchEnded(order, tidebank.model.Outcome.COMPLETED, new byte[0], Map.of());
         return null;
