--- a/src/main/java/tidebank/config/NodeConfig.java
+++ b/src/main/java/tidebank/config/NodeConfig.java
@@ -27,18 +27,32 @@
   private static final int SOCKETS_DEFAULT = 1024;
   private static final int SOCKETS_LEAST = 128;
   private static final long SECOND_US = 1_000_000;
+  private static final int KIB = 1024;
   /** PROTOCOL: a body holds no more than this. */
-  private static final int BODY_MOST = 64 * 1024;
+  private static final int BODY_MOST = 64 * KIB;
 
   /**
    * How the descriptors are shared out. Past {@code clients} a further connection is answered with a plain
-   * refusal and closed; past {@code clientsMost} none is accepted until one has gone.
+   * refusal and closed; past {@code clientsMost} none is accepted until one has gone. The rest bounds what one
+   * connection may hold: requests not yet answered, the buffers it is read into (a body keeps them, so they are
+   * small) and, from {@code writeHigh} down to {@code writeLow}, bytes not yet written.
    */
-  public record Budgets(int clients, int clientsMost, int servers, int serverMost) {
+  public record Budgets(
+      int clients,
+      int clientsMost,
+      int servers,
+      int serverMost,
+      int pipelineMost,
+      int readLeast,
+      int readFirst,
+      int readMost,
+      int writeLow,
+      int writeHigh) {
     /** A quarter each for clients and for shard servers, an eighth for refusals; the rest stays free. */
     static Budgets of(int sockets) {
       int eighth = sockets / 8;
-      return new Budgets(2 * eighth, 3 * eighth, 2 * eighth, Math.max(1, eighth / 8));
+      return new Budgets(2 * eighth, 3 * eighth, 2 * eighth, Math.max(1, eighth / 8),
+          16, 64, 2 * KIB, 16 * KIB, 32 * KIB, 128 * KIB);
     }
   }
 
--- a/src/main/java/tidebank/front/ClientConnection.java
+++ b/src/main/java/tidebank/front/ClientConnection.java
@@ -22,7 +22,6 @@
 
 /** One client's connection. Requests that come before earlier ones are answered are answered in their order. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-  private static final int PIPELINE_MOST = 16;
   private static final ChannelFutureListener END_OUTPUT =
       done -> ((DuplexChannel) done.channel()).shutdownOutput();
 
@@ -104,7 +103,7 @@
         exchange.respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed");
       }
     }
-    if (exchanges.size() >= PIPELINE_MOST) {
+    if (exchanges.size() >= side.pipelineMost()) {
       channel.config().setAutoRead(false);
     }
   }
@@ -194,7 +193,7 @@
   }
 
   private void readOn() {
-    channel.config().setAutoRead(exchanges.size() < PIPELINE_MOST && channel.isWritable());
+    channel.config().setAutoRead(exchanges.size() < side.pipelineMost() && channel.isWritable());
   }
 
   @Override
--- a/src/main/java/tidebank/front/ClientSide.java
+++ b/src/main/java/tidebank/front/ClientSide.java
@@ -114,6 +114,10 @@
     return !draining && ready.getAsBoolean();
   }
 
+  int pipelineMost() {
+    return config.budgets().pipelineMost();
+  }
+
   boolean draining() {
     return draining;
   }
--- a/src/main/java/tidebank/front/Exchange.java
+++ b/src/main/java/tidebank/front/Exchange.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import tidebank.base.Log;
 import tidebank.node.Reply;
 
 /** One request on a client's connection and, once it is there, its response. */
@@ -32,6 +33,18 @@
 
   @Override
   public void answered(boolean whole, List<Value> values) {
+    ByteBuf body;
+    try {
+      body = body(whole, values);
+    } catch (IOException | RuntimeException | VirtualMachineError fault) {
+      Log.error("an answer could not be written", fault);
+      respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "the answer could not be written");
+      return;
+    }
+    finish(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, body), "application/json");
+  }
+
+  private ByteBuf body(boolean whole, List<Value> values) throws IOException {
     ByteBuf body = connection.allocator().directBuffer();
     try (JsonGenerator out = JSON.createGenerator((OutputStream) new ByteBufOutputStream(body))) {
       out.writeStartObject();
@@ -46,12 +59,12 @@
       }
       out.writeEndArray();
       out.writeEndObject();
-    } catch (IOException fault) {
+      out.flush();
+      return body;
+    } catch (IOException | RuntimeException | VirtualMachineError fault) {
       body.release();
-      respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "the answer could not be written");
-      return;
+      throw fault;
     }
-    finish(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, body), "application/json");
   }
 
   @Override
--- a/src/main/java/tidebank/node/Gatherer.java
+++ b/src/main/java/tidebank/node/Gatherer.java
@@ -17,6 +17,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import tidebank.base.Counters;
@@ -35,12 +36,6 @@
   private static final int PAGE = 8192;
   /** Chunks of 512 KiB: one arena of few chunks serves a gatherer. */
   private static final int CHUNK_ORDER = 6;
-  private static final int WRITE_LOW = 32 * 1024;
-  private static final int WRITE_HIGH = 128 * 1024;
-  /** A body keeps the buffers that it was read into, so these are small. */
-  private static final int READ_LEAST = 64;
-  private static final int READ_FIRST = 2048;
-  private static final int READ_MOST = 16 * 1024;
   private static final long REPORT_US = 60_000_000;
 
   private final NodeConfig config;
@@ -69,7 +64,7 @@
     Bootstrap out = new Bootstrap().group(group).channel(NioSocketChannel.class)
         .option(ChannelOption.ALLOCATOR, allocator)
         .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH))
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.transport().connectTimeoutUs() / 1000));
     shards = new ShardSide(config, out, turn, clock, alarms, counters);
     discovery = new DiscoverySide(config, out, turn, clock, alarms, counters);
@@ -96,8 +91,9 @@
         .option(ChannelOption.SO_BACKLOG, config.budgets().clients())
         .childOption(ChannelOption.ALLOCATOR, allocator)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(READ_LEAST, READ_FIRST, READ_MOST))
-        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH));
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(
+            config.budgets().readLeast(), config.budgets().readFirst(), config.budgets().readMost()))
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark());
     loop.submit(() -> {
       turn.listSeen(ListKind.REMEMBERED, known.members());
       discovery.begin();
@@ -113,9 +109,13 @@
         + " shard servers");
   }
 
+  private WriteBufferWaterMark waterMark() {
+    return new WriteBufferWaterMark(config.budgets().writeLow(), config.budgets().writeHigh());
+  }
+
   private ListReader.Members known() throws Malformed {
     if (config.known() == null) {
-      return new ListReader.Members(0, true, java.util.List.of());
+      return new ListReader.Members(0, true, List.of());
     }
     try {
       return ListReader.read(config.known());
--- a/src/main/java/tidebank/node/ShardPort.java
+++ b/src/main/java/tidebank/node/ShardPort.java
@@ -1,5 +1,6 @@
 package tidebank.node;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import tidebank.model.Event;
 
@@ -20,5 +21,5 @@
   void probe(String server);
 
   /** A line of the list, with the address. */
-  record Member(Event.Listed line, java.net.InetSocketAddress address) {}
+  record Member(Event.Listed line, InetSocketAddress address) {}
 }
--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import tidebank.Brain;
 import tidebank.base.Counters;
 import tidebank.base.Log;
@@ -103,7 +105,7 @@
     if (value != null && part.value == null && part.scan.reply != null) {
       part.value = value;
     }
-    counters.add("dispatches." + outcome.name().toLowerCase());
+    counters.add("dispatches." + outcome.name().toLowerCase(Locale.ROOT));
     boolean closed = part.scan.reply == null || part.value != null;
     tell(new Event.DispatchEnded(
         part.id, order.number, outcome, clock.now() - order.askedAt, closed, report));
@@ -111,7 +113,7 @@
   }
 
   public void probed(String server, Outcome outcome, long tookUs, Map<String, Double> report) {
-    counters.add("probes." + outcome.name().toLowerCase());
+    counters.add("probes." + outcome.name().toLowerCase(Locale.ROOT));
     tell(new Event.Probed(server, outcome, tookUs, report));
   }
 
@@ -125,7 +127,7 @@
       members.forEach(member -> list.put(member.line().server(), member));
       shards.listed(members, full);
     }
-    counters.add("list." + kind.name().toLowerCase());
+    counters.add("list." + kind.name().toLowerCase(Locale.ROOT));
     tell(new Event.ListSeen(kind, members.stream().map(Member::line).toList()));
   }
 
@@ -196,29 +198,12 @@
         cancel(part.orders.get(cancel.dispatch()));
       }
     } else if (action instanceof Action.Answer answer) {
-      HeldScan scan = scans.get(answer.scan());
-      if (scan != null) {
-        Reply reply = scan.reply;
-        finish(scan);
-        counters.add(answer.whole() ? "scans.whole" : "scans.partial");
-        reply.answered(answer.whole(), scan.values());
-      }
+      conclude(answer.scan(), answer.whole() ? "scans.whole" : "scans.partial",
+          (reply, scan) -> reply.answered(answer.whole(), scan.values()));
     } else if (action instanceof Action.Throttle throttle) {
-      HeldScan scan = scans.get(throttle.scan());
-      if (scan != null) {
-        Reply reply = scan.reply;
-        finish(scan);
-        counters.add("scans.throttled");
-        reply.throttled(throttle.holdOffUs());
-      }
+      conclude(throttle.scan(), "scans.throttled", (reply, scan) -> reply.throttled(throttle.holdOffUs()));
     } else if (action instanceof Action.Abandon abandon) {
-      HeldScan scan = scans.get(abandon.scan());
-      if (scan != null) {
-        Reply reply = scan.reply;
-        finish(scan);
-        counters.add("scans.abandoned");
-        reply.abandoned();
-      }
+      conclude(abandon.scan(), "scans.abandoned", (reply, scan) -> reply.abandoned());
     } else if (action instanceof Action.SetTimer timer) {
       alarms.set(new Timer(timer.token()), clock.now() + timer.waitUs());
     } else if (action instanceof Action.Follow follow) {
@@ -232,6 +217,16 @@
     }
   }
 
+  private void conclude(String id, String counter, BiConsumer<Reply, HeldScan> answer) {
+    HeldScan scan = scans.get(id);
+    if (scan != null) {
+      Reply reply = scan.reply;
+      finish(scan);
+      counters.add(counter);
+      answer.accept(reply, scan);
+    }
+  }
+
   private void send(Action.Send send) {
     HeldPart part = parts.get(send.part());
     counters.must(part != null && part.scan.reply != null, "only parts of an open scan are sent");
--- a/src/main/java/tidebank/shard/Flight.java
+++ b/src/main/java/tidebank/shard/Flight.java
@@ -25,21 +25,20 @@
   /** Its time is up. */
   @Override
   protected void ring() {
-    if (stage == Stage.WAITING) {
-      call.server.end(this, Outcome.NEVER_SENT, null);
-    } else if (stage != Stage.ENDED) {
-      call.connection.giveUp(this);
-      call.server.end(this, Outcome.TIMED_OUT, null);
-    }
+    stop(Outcome.TIMED_OUT);
   }
 
   @Override
   public void cancel() {
+    stop(Outcome.CANCELLED);
+  }
+
+  private void stop(Outcome ifWritten) {
     if (stage == Stage.WAITING) {
       call.server.end(this, Outcome.NEVER_SENT, null);
     } else if (stage != Stage.ENDED) {
       call.connection.giveUp(this);
-      call.server.end(this, Outcome.CANCELLED, null);
+      call.server.end(this, ifWritten, null);
     }
   }
 
