What waits for a connection to a draining server goes elsewhere as soon as the grace is over

Seen: such a part stayed with its connection until that came up or failed (Connection.write was the only check), so with a long connect time-out a non-replayable scan was abandoned though it had never been sent. Checked: without the lines in Server.ring the new test gets 500 at the end of the client's time. Also tested now: a watch that hangs, a body of exactly 64 KiB; a probe of an unknown server is told as unreachable.

--- a/src/main/java/tidebank/shard/Connection.java
+++ b/src/main/java/tidebank/shard/Connection.java
@@ -130,6 +130,15 @@
     }
   }
 
+  /** Its server may be sent nothing new: what waits is dropped, what is stuck is cut off. */
+  void closedToNew() {
+    stopWriting();
+    for (Call call : List.copyOf(waiting)) {
+      side.counters.add("shard.dropped-for-drain");
+      server.endAll(call, Outcome.NEVER_SENT);
+    }
+  }
+
   /** Tells the shard server that a part written to it is given up, where that is allowed. */
   void giveUp(Flight flight) {
     if (side.mayGiveUp && channel.isActive()) {
--- a/src/main/java/tidebank/shard/Server.java
+++ b/src/main/java/tidebank/shard/Server.java
@@ -37,7 +37,7 @@
   /** Its drain grace is over. */
   @Override
   protected void ring() {
-    List.copyOf(connections).forEach(Connection::stopWriting);
+    List.copyOf(connections).forEach(Connection::closedToNew);
   }
 
   /** Takes a part into this turn's call. */
--- a/src/main/java/tidebank/shard/ShardSide.java
+++ b/src/main/java/tidebank/shard/ShardSide.java
@@ -14,6 +14,7 @@
 import tidebank.base.Counters;
 import tidebank.config.NodeConfig;
 import tidebank.model.Event.ServerStatus;
+import tidebank.model.Outcome;
 import tidebank.node.Alarms;
 import tidebank.node.Clock;
 import tidebank.node.Order;
@@ -143,7 +144,9 @@
   @Override
   public void probe(String id) {
     Server server = servers.get(id);
-    if (server != null) {
+    if (server == null) {
+      turn.probed(id, Outcome.UNREACHABLE, 0, Map.of());
+    } else {
       server.probe(transport.probeForLoad() ? Frames.PROBE_LOAD : Frames.PROBE);
     }
   }
--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -226,6 +226,8 @@
       assertThat(client.read().body()).contains("value of a.0");
       String body = "{\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"p\"}";
       String head = post("/whole", "b", "2000000u", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+      assertThat(client.ask(post("/whole", "c", "2000m", body + " ".repeat(65_536 - body.length()))).status())
+          .isEqualTo(200);
       assertThat(client.ask(head + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n").body())
           .contains("value of b.0");
     }
@@ -531,6 +533,30 @@
     }
   }
 
+  @Test
+  void aPartThatWaitsForAConnectionGoesElsewhereOnceItsServersDrainGraceIsOver() throws Exception {
+    try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        Socket one = new Socket("127.0.0.1", full.getLocalPort());
+        Socket two = new Socket("127.0.0.1", full.getLocalPort())) {
+      site.limits.put("connectTimeoutMs", 5000);
+      FakeShardServer drains = site.servers.get(1);
+      drains.listener.close();
+      drains.listener = full;
+      site.start();
+      site.discovery.call("after=41");
+      List<FakeClient> clients = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        clients.add(site.client().send(scan("once", "a" + i, 2900, 1)));
+      }
+      site.discovery.change(drains, "Terminating");
+      for (FakeClient client : clients) {
+        assertThat(client.read().body()).contains("value of a");
+        client.close();
+      }
+      assertThat(one.isConnected() && two.isConnected()).isTrue();
+    }
+  }
+
   @Test
   void aFrameThatIsStuckHalfWayEndsItsConnectionOnceItsScanIsAnswered() throws Exception {
     try (ServerSocket deaf = new ServerSocket()) {
@@ -630,6 +656,18 @@
     assertThat(site.discovery.accepted).hasValue(1);
   }
 
+  @Test
+  void aWatchThatHangsIsGivenUpAndTheListFetchedAnew() throws Exception {
+    site.askEveryMs = 100;
+    site.start();
+    site.discovery.call("after=41");
+    site.discovery.instead = "";
+    site.discovery.call("after=41");
+    site.discovery.instead = null;
+    assertThat(site.discovery.call("")).isEqualTo("/registry/instances");
+    site.discovery.call("after=41");
+  }
+
   @Test
   void aServerThatCameBackUnderANewAddressIsMetThere() throws Exception {
     site.servers.forEach(server -> server.health = "Gone");
