--- a/src/main/java/tidebank/base/Counters.java
+++ b/src/main/java/tidebank/base/Counters.java
@@ -25,12 +25,13 @@
     }
   }
 
-  /** What must hold: asserted where assertions are on, counted elsewhere. */
-  public void must(boolean holds, String what) {
+  /** What must hold: asserted where assertions are on, counted elsewhere. Returns whether it does. */
+  public boolean must(boolean holds, String what) {
     assert holds : what;
     if (!holds) {
       fault("invariant." + what.replace(' ', '-'), what);
     }
+    return holds;
   }
 
   @Override
--- a/src/main/java/tidebank/discovery/DiscoverySide.java
+++ b/src/main/java/tidebank/discovery/DiscoverySide.java
@@ -49,8 +49,8 @@
   private final Clock clock;
   private final Alarms alarms;
   private final Counters counters;
-  private final Alarms.Alarm late = new LateAlarm();
-  private final Alarms.Alarm again = new AgainAlarm();
+  private final Alarms.Alarm late = Alarms.alarm(() -> lost("no answer in time"));
+  private final Alarms.Alarm again = Alarms.alarm(() -> follow(true));
   private final boolean unasked;
   private Link link;
   private boolean following;
@@ -227,18 +227,4 @@
       context.close();
     }
   }
-
-  private final class AgainAlarm extends Alarms.Alarm {
-    @Override
-    protected void ring() {
-      follow(true);
-    }
-  }
-
-  private final class LateAlarm extends Alarms.Alarm {
-    @Override
-    protected void ring() {
-      lost("no answer in time");
-    }
-  }
 }
--- a/src/main/java/tidebank/front/ClientConnection.java
+++ b/src/main/java/tidebank/front/ClientConnection.java
@@ -28,7 +28,7 @@
   private final ClientSide side;
   private final boolean surplus;
   private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
-  private final Alarms.Alarm slow = new SlowAlarm();
+  private final Alarms.Alarm slow = Alarms.alarm(this::slow);
   private Channel channel;
   private long headAt;
   private boolean ending;
@@ -230,11 +230,8 @@
     exchanges.clear();
   }
 
-  private final class SlowAlarm extends Alarms.Alarm {
-    @Override
-    protected void ring() {
-      side.counters.add("front.slow-requests");
-      close();
-    }
+  private void slow() {
+    side.counters.add("front.slow-requests");
+    close();
   }
 }
--- a/src/main/java/tidebank/front/ClientSide.java
+++ b/src/main/java/tidebank/front/ClientSide.java
@@ -110,7 +110,8 @@
     }
   }
 
-  boolean ready() {
+  /** Whether it can serve and is not ending. */
+  public boolean ready() {
     return !draining && ready.getAsBoolean();
   }
 
--- a/src/main/java/tidebank/node/Alarms.java
+++ b/src/main/java/tidebank/node/Alarms.java
@@ -20,6 +20,16 @@
     protected abstract void ring();
   }
 
+  /** An alarm that runs this when its time has come. */
+  public static Alarm alarm(Runnable then) {
+    return new Alarm() {
+      @Override
+      protected void ring() {
+        then.run();
+      }
+    };
+  }
+
   private static final Comparator<Alarm> EARLIEST =
       Comparator.comparingLong((Alarm alarm) -> alarm.at).thenComparingLong(alarm -> alarm.order);
 
--- a/src/main/java/tidebank/node/Gatherer.java
+++ b/src/main/java/tidebank/node/Gatherer.java
@@ -16,7 +16,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +48,7 @@
   private final ShardSide shards;
   private final DiscoverySide discovery;
   private final ClientSide clients;
+  private final Alarms.Alarm report = Alarms.alarm(this::report);
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private InetSocketAddress address;
   private boolean stopping;
@@ -102,9 +102,8 @@
     if (!binding.isSuccess()) {
       throw new IOException("cannot listen on " + config.listen() + ": " + binding.cause().getMessage());
     }
-    SocketAddress bound = binding.channel().localAddress();
-    address = (InetSocketAddress) bound;
-    loop.execute(() -> alarms.set(new Report(), clock.now() + REPORT_US));
+    address = (InetSocketAddress) binding.channel().localAddress();
+    loop.execute(() -> alarms.set(report, clock.now() + REPORT_US));
     Log.info("gatherer " + config.name() + " listens on " + address + ", knows " + known.members().size()
         + " shard servers");
   }
@@ -131,7 +130,7 @@
 
   /** Whether it can serve: it knows of shard servers and is not stopping. */
   public boolean ready() {
-    return loop.submit(() -> !stopping && turn.knowsServers()).syncUninterruptibly().getNow();
+    return loop.submit(() -> clients.ready()).syncUninterruptibly().getNow();
   }
 
   /** Begins to stop: not ready, stragglers served, all that was taken answered. Completes when that is done. */
@@ -141,7 +140,7 @@
         stopping = true;
         Log.info("stopping");
         clients.drain();
-        alarms.set(new StragglersIn(), clock.now() + config.transport().stragglersUs());
+        alarms.set(Alarms.alarm(this::noMoreStragglers), clock.now() + config.transport().stragglersUs());
       }
     });
     return stopped;
@@ -154,8 +153,8 @@
 
   /** Answers are on their way; their connections close once they are written. */
   private void waitForClients() {
-    if (clients.open() > 0 && turn.idle()) {
-      alarms.set(new StragglersGone(), clock.now() + config.settings().tickUs());
+    if (clients.open() > 0) {
+      alarms.set(Alarms.alarm(() -> turn.whenIdle(this::waitForClients)), clock.now() + config.settings().tickUs());
       return;
     }
     shards.close();
@@ -164,25 +163,8 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> stopped.complete(null));
   }
 
-  private final class StragglersIn extends Alarms.Alarm {
-    @Override
-    protected void ring() {
-      noMoreStragglers();
-    }
-  }
-
-  private final class StragglersGone extends Alarms.Alarm {
-    @Override
-    protected void ring() {
-      turn.whenIdle(Gatherer.this::waitForClients);
-    }
-  }
-
-  private final class Report extends Alarms.Alarm {
-    @Override
-    protected void ring() {
-      Log.info("counters: " + counters);
-      alarms.set(this, clock.now() + REPORT_US);
-    }
+  private void report() {
+    Log.info("counters: " + counters);
+    alarms.set(report, clock.now() + REPORT_US);
   }
 }
--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -96,8 +96,7 @@
 
   /** A dispatch has come to its one end; {@code value} is null unless it completed. */
   public void dispatchEnded(Order order, Outcome outcome, byte[] value, Map<String, Double> report) {
-    counters.must(!order.ended, "a dispatch ends once");
-    if (order.ended) {
+    if (!counters.must(!order.ended, "a dispatch ends once")) {
       return;
     }
     order.ended = true;
@@ -137,10 +136,6 @@
     checkIdle();
   }
 
-  boolean idle() {
-    return scans.isEmpty();
-  }
-
   /** Whether any list told of a shard server. */
   boolean knowsServers() {
     return !list.isEmpty();
@@ -205,7 +200,7 @@
     } else if (action instanceof Action.Abandon abandon) {
       conclude(abandon.scan(), "scans.abandoned", (reply, scan) -> reply.abandoned());
     } else if (action instanceof Action.SetTimer timer) {
-      alarms.set(new Timer(timer.token()), clock.now() + timer.waitUs());
+      alarms.set(Alarms.alarm(() -> tell(new Event.TimerDue(timer.token()))), clock.now() + timer.waitUs());
     } else if (action instanceof Action.Follow follow) {
       discovery.follow(follow.on());
     } else if (action instanceof Action.Close close) {
@@ -229,8 +224,7 @@
 
   private void send(Action.Send send) {
     HeldPart part = parts.get(send.part());
-    counters.must(part != null && part.scan.reply != null, "only parts of an open scan are sent");
-    if (part == null || part.scan.reply == null) {
+    if (!counters.must(part != null && part.scan.reply != null, "only parts of an open scan are sent")) {
       return;
     }
     Order order = new Order(part, part.orders.size(), send.server(), part.scan.request.text(), send.stopAt(),
@@ -278,17 +272,4 @@
       then.run();
     }
   }
-
-  private final class Timer extends Alarms.Alarm {
-    private final long token;
-
-    Timer(long token) {
-      this.token = token;
-    }
-
-    @Override
-    protected void ring() {
-      tell(new Event.TimerDue(token));
-    }
-  }
 }
--- a/src/main/java/tidebank/shard/Connection.java
+++ b/src/main/java/tidebank/shard/Connection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,8 +32,8 @@
   private final Map<String, Flight> out = new HashMap<>();
   private final ArrayDeque<Probe> probes = new ArrayDeque<>();
   private final ChannelFutureListener written = this::written;
-  private final Alarms.Alarm idle = new IdleAlarm();
-  private final Alarms.Alarm probeLate = new ProbeAlarm();
+  private final Alarms.Alarm idle = Alarms.alarm(this::unused);
+  private final Alarms.Alarm probeLate = Alarms.alarm(this::probeLate);
   private Channel channel;
   private Call writing;
   private boolean up;
@@ -46,13 +45,17 @@
     this.side = server.side;
   }
 
-  void connect(SocketAddress address) {
-    ChannelFuture connecting = side.bootstrap(this).connect(address);
+  /** Begins to connect, once; what is to be sent was given to it before. */
+  void connect() {
+    if (channel != null) {
+      return;
+    }
+    ChannelFuture connecting = side.bootstrap(this).connect(server.address);
     channel = connecting.channel();
     connecting.addListener((ChannelFutureListener) done -> {
       if (!done.isSuccess()) {
         side.counters.add("shard.connect-failed");
-        ended(false);
+        ended();
       }
     });
   }
@@ -162,7 +165,7 @@
   void probe(byte letter) {
     probes.add(new Probe(letter, side.clock.now()));
     if (probes.size() == 1) {
-      side.alarms.set(probeLate, side.clock.now() + side.transport.connectTimeoutUs());
+      awaitProbe();
     }
     if (up) {
       channel.writeAndFlush(Frames.probe(channel.alloc(), letter), channel.voidPromise());
@@ -222,10 +225,14 @@
     side.turn.probed(server.id, good ? Outcome.COMPLETED : Outcome.ERROR, side.clock.now() - probe.askedAt(),
         good && letter == Frames.PROBE_LOAD ? Frames.report(text) : Map.of());
     if (!probes.isEmpty()) {
-      side.alarms.set(probeLate, side.clock.now() + side.transport.connectTimeoutUs());
+      awaitProbe();
     }
   }
 
+  private void awaitProbe() {
+    side.alarms.set(probeLate, side.clock.now() + side.transport.connectTimeoutUs());
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     if (!(cause instanceof java.io.IOException) || cause instanceof Malformed) {
@@ -237,18 +244,18 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    ended(true);
+    ended();
   }
 
   void close() {
     if (channel != null) {
       channel.close();
     }
-    ended(up);
+    ended();
   }
 
   /** Ends what is on it: what was written whole may have run, the rest never did. */
-  private void ended(boolean wasUp) {
+  private void ended() {
     if (closed) {
       return;
     }
@@ -262,31 +269,25 @@
       }
     }
     for (Probe probe : probes) {
-      side.turn.probed(server.id, wasUp ? Outcome.BROKEN : Outcome.UNREACHABLE,
+      side.turn.probed(server.id, up ? Outcome.BROKEN : Outcome.UNREACHABLE,
           side.clock.now() - probe.askedAt(), Map.of());
     }
     probes.clear();
   }
 
-  private final class IdleAlarm extends Alarms.Alarm {
-    @Override
-    protected void ring() {
-      if (isIdle()) {
-        side.counters.add("shard.closed-idle");
-        close();
-      }
+  private void unused() {
+    if (isIdle()) {
+      side.counters.add("shard.closed-idle");
+      close();
     }
   }
 
-  private final class ProbeAlarm extends Alarms.Alarm {
-    @Override
-    protected void ring() {
-      Probe late = probes.peek();
-      if (late != null) {
-        side.turn.probed(server.id, Outcome.TIMED_OUT, side.clock.now() - late.askedAt(), Map.of());
-        probes.clear();
-        close();
-      }
+  private void probeLate() {
+    Probe late = probes.peek();
+    if (late != null) {
+      side.turn.probed(server.id, Outcome.TIMED_OUT, side.clock.now() - late.askedAt(), Map.of());
+      probes.clear();
+      close();
     }
   }
 }
--- a/src/main/java/tidebank/shard/Server.java
+++ b/src/main/java/tidebank/shard/Server.java
@@ -61,44 +61,41 @@
     if (call.flights.isEmpty()) {
       return;
     }
-    for (Connection connection : connections) {
-      if (connection.hasRoom()) {
-        connection.take(call);
-        return;
-      }
-    }
-    if (address == null || !side.mayOpen(this)) {
+    Connection connection = withRoom();
+    if (connection == null) {
       side.counters.fault("shard.no-connection-to-spare", "server " + id);
       endAll(call, Outcome.UNREACHABLE);
       side.forgetIfGone(this);
       return;
     }
-    Connection connection = open();
     connection.take(call);
-    connection.connect(address);
+    connection.connect();
   }
 
-  private Connection open() {
-    Connection connection = new Connection(this);
-    connections.add(connection);
-    side.opened++;
-    return connection;
+  void probe(byte letter) {
+    Connection connection = withRoom();
+    if (connection == null) {
+      side.turn.probed(id, Outcome.UNREACHABLE, 0, Map.of());
+      return;
+    }
+    connection.probe(letter);
+    connection.connect();
   }
 
-  void probe(byte letter) {
+  /** A connection with a free place, or a new one; null where none may be opened. */
+  private Connection withRoom() {
     for (Connection connection : connections) {
       if (connection.hasRoom()) {
-        connection.probe(letter);
-        return;
+        return connection;
       }
     }
     if (address == null || !side.mayOpen(this)) {
-      side.turn.probed(id, Outcome.UNREACHABLE, 0, Map.of());
-      return;
+      return null;
     }
-    Connection connection = open();
-    connection.probe(letter);
-    connection.connect(address);
+    Connection connection = new Connection(this);
+    connections.add(connection);
+    side.opened++;
+    return connection;
   }
 
   void endAll(Call call, Outcome outcome) {
--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -80,6 +80,14 @@
     site.servers.forEach(server -> server.answers = false);
   }
 
+  /** The list names but one server in service: s1, which holds the shards 0 and 1. */
+  private FakeShardServer only() {
+    site.servers.forEach(server -> server.health = "Gone");
+    FakeShardServer one = site.servers.get(1);
+    one.health = "Ready";
+    return one;
+  }
+
   /** The next frame at any shard server. */
   private Frame anyFrame() throws InterruptedException {
     while (true) {
@@ -363,8 +371,7 @@
   @Test
   void answersMayBeCutAnywhereAndJoined() throws Exception {
     silence();
-    site.servers.forEach(server -> server.health = "Gone");
-    site.servers.get(1).health = "Ready";
+    only();
     site.start();
     try (FakeClient client = site.client()) {
       client.send(scan("whole", "a", 2000, 0.5, 0.5));
@@ -389,8 +396,7 @@
   void partsOfOneTurnShareACallUpToTheBundle() throws Exception {
     site.bundleMost = 2;
     silence();
-    site.servers.forEach(server -> server.health = "Gone");
-    site.servers.get(1).health = "Ready";
+    only();
     site.start();
     try (FakeClient client = site.client()) {
       client.send(scan("whole", "a", 2000, 0.5, 0.5));
@@ -403,8 +409,7 @@
   void aConnectionTakesNoMoreCallsThanTheSettingsSay() throws Exception {
     site.limits.put("maxStreams", 1);
     silence();
-    site.servers.forEach(server -> server.health = "Gone");
-    site.servers.get(1).health = "Ready";
+    only();
     site.start();
     try (FakeClient client = site.client()) {
       client.send(scan("whole", "a", 2000, 0.5, 0.5));
@@ -507,8 +512,7 @@
       Socket one = new Socket("127.0.0.1", full.getLocalPort());
       Socket two = new Socket("127.0.0.1", full.getLocalPort());
       site.limits.put("connectTimeoutMs", 5000);
-      site.servers.forEach(server -> server.health = "Gone");
-      site.servers.get(1).health = "Ready";
+      only();
       site.servers.get(1).listener.close();
       site.servers.get(1).listener = full;
       site.start();
@@ -566,9 +570,7 @@
     try (ServerSocket deaf = new ServerSocket()) {
       deaf.setReceiveBufferSize(4096);
       deaf.bind(new InetSocketAddress("127.0.0.1", 0));
-      site.servers.forEach(server -> server.health = "Gone");
-      FakeShardServer server = site.servers.get(1);
-      server.health = "Ready";
+      FakeShardServer server = only();
       server.listener.close();
       server.listener = deaf;
       site.limits.put("mostHeld", 1000);
@@ -601,8 +603,7 @@
   @Test
   void aConnectionIsNotUsedPastTheKeepAlive() throws Exception {
     site.limits.putAll(java.util.Map.of("keepaliveMs", 400, "connectTimeoutMs", 100));
-    site.servers.forEach(server -> server.health = "Gone");
-    site.servers.get(1).health = "Ready";
+    only();
     site.start();
     try (FakeClient client = site.client()) {
       client.ask(scan("whole", "a", 2000, 1));
@@ -676,9 +677,7 @@
 
   @Test
   void aServerThatCameBackUnderANewAddressIsMetThere() throws Exception {
-    site.servers.forEach(server -> server.health = "Gone");
-    FakeShardServer moved = site.servers.get(1);
-    moved.health = "Ready";
+    FakeShardServer moved = only();
     site.start();
     try (FakeClient client = site.client()) {
       client.ask(scan("whole", "a", 2000, 1));
