--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -147,16 +147,15 @@
   }
 
   private void takeList(Event.ListSeen list) {
-    if (list.kind() == Event.ListKind.LOST) {
+    boolean lost = list.kind() == Event.ListKind.LOST;
+    if (lost || list.kind() == Event.ListKind.MOVED) {
       following = false;
-      askAt = now + askWait / 2 + Math.round(chance.next() * askWait / 2);
-      askWait = Math.min(2 * askWait, settings.rules().askEveryUs());
+      askAt = lost ? now + askWait / 2 + Math.round(chance.next() * askWait / 2) : now;
+      askWait = lost ? Math.min(2 * askWait, settings.rules().askEveryUs()) : askLeast;
       return;
     }
-    if (list.kind() != Event.ListKind.REMEMBERED) {
-      followAnswered = true;
-      askWait = askLeast;
-    }
+    followAnswered |= list.kind() != Event.ListKind.REMEMBERED;
+    askWait = followAnswered ? askLeast : askWait;
     fleet.take(list);
     for (Event.Listed line : list.entries()) {
       ShardServer srv = fleet.get(line.server());
--- a/src/main/java/tidebank/Main.java
+++ b/src/main/java/tidebank/Main.java
@@ -1,6 +1,9 @@
 package tidebank;
 
 import java.io.IOException;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.Semaphore;
+import sun.misc.Signal;
 import tidebank.base.Log;
 import tidebank.config.Malformed;
 import tidebank.config.NodeConfig;
@@ -28,13 +31,29 @@
     }
   }
 
-  /** Serves until SIGTERM, whose hook waits for the last answer and then ends with 0. */
+  /**
+   * Serves until SIGTERM, whose hook waits for the last answer and then ends with 0. Each SIGHUP has the
+   * configuration read again, here and not on the event loop; signals that come meanwhile count as one.
+   */
   private static void serve() throws IOException {
+    Semaphore reloads = new Semaphore(0);
+    Signal.handle(new Signal("HUP"), signal -> reloads.release());
     Gatherer gatherer = Gatherer.start(NodeConfig.read(System.getenv()));
     Runtime.getRuntime().addShutdownHook(new Thread(() -> {
       gatherer.stop().join();
       Runtime.getRuntime().halt(0);
     }));
     Log.info("serving");
+    while (true) {
+      reloads.acquireUninterruptibly();
+      reloads.drainPermits();
+      try {
+        gatherer.reload(NodeConfig.reread(System.getenv()));
+      } catch (Malformed fault) {
+        gatherer.reloadFailed(fault);
+      } catch (RejectedExecutionException stopped) {
+        return;
+      }
+    }
   }
 }
--- a/src/main/java/tidebank/config/NodeConfig.java
+++ b/src/main/java/tidebank/config/NodeConfig.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
 import tidebank.model.Settings;
 
@@ -85,11 +86,18 @@
 
   /** Reads the environment and the file that NODE_CONFIG names; a variable goes before the file. */
   public static NodeConfig read(Map<String, String> env) throws Malformed {
-    String path = env.getOrDefault("NODE_CONFIG", "");
-    if (path.isEmpty()) {
-      throw wrong("NODE_CONFIG", "nothing", "the path of a JSON file");
-    }
-    JsonNode file = file(path);
+    return read(env, file(env));
+  }
+
+  /** The same while the program runs: the environment is that of its start, so the file's discovery is newer. */
+  public static NodeConfig reread(Map<String, String> env) throws Malformed {
+    JsonNode file = file(env);
+    Map<String, String> rest = new HashMap<>(env);
+    rest.remove(file.path("discovery").asText("").isEmpty() ? "" : "NODE_DISCOVERY");
+    return read(rest, file);
+  }
+
+  private static NodeConfig read(Map<String, String> env, JsonNode file) throws Malformed {
     JsonNode settingsNode = object(file, "settings");
     Settings settings;
     Transport transport;
@@ -117,7 +125,11 @@
         settings);
   }
 
-  private static JsonNode file(String path) throws Malformed {
+  private static JsonNode file(Map<String, String> env) throws Malformed {
+    String path = env.getOrDefault("NODE_CONFIG", "");
+    if (path.isEmpty()) {
+      throw wrong("NODE_CONFIG", "nothing", "the path of a JSON file");
+    }
     try {
       JsonNode file = new ObjectMapper().readTree(Files.readAllBytes(Path.of(path)));
       if (file == null || !file.isObject()) {
--- a/src/main/java/tidebank/discovery/DiscoverySide.java
+++ b/src/main/java/tidebank/discovery/DiscoverySide.java
@@ -43,7 +43,6 @@
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final NodeConfig.Transport transport;
-  private final InetSocketAddress address;
   private final Bootstrap template;
   private final Turn turn;
   private final Clock clock;
@@ -52,6 +51,7 @@
   private final Alarms.Alarm late = Alarms.alarm(() -> lost("no answer in time"));
   private final Alarms.Alarm again = Alarms.alarm(() -> follow(true));
   private final boolean unasked;
+  private InetSocketAddress address;
   private Link link;
   private boolean following;
   /** The version that the watch has come to; below 0: none yet. */
@@ -86,6 +86,18 @@
     }
   }
 
+  /** Discovery is at another address, whose versions may count anew; a watch on the old one is of no use. */
+  public void moved(InetSocketAddress to) {
+    if (to.equals(address)) {
+      return;
+    }
+    Log.info("discovery is at " + to + " now");
+    address = to;
+    close();
+    turn.listSeen(ListKind.MOVED, List.of());
+    begin();
+  }
+
   /** Ends the watch without a word. */
   public void close() {
     following = false;
--- a/src/main/java/tidebank/model/Event.java
+++ b/src/main/java/tidebank/model/Event.java
@@ -9,7 +9,9 @@
     CHANGES,
     FULL,
     REMEMBERED,
-    LOST
+    LOST,
+    /** Discovery is elsewhere now: what watched the old place ends, and nothing is known to be missing yet. */
+    MOVED
   }
 
   enum ServerStatus {
--- a/src/main/java/tidebank/node/Gatherer.java
+++ b/src/main/java/tidebank/node/Gatherer.java
@@ -52,6 +52,7 @@
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private InetSocketAddress address;
   private boolean stopping;
+  private boolean closed;
 
   private Gatherer(NodeConfig config) {
     this.config = config;
@@ -146,6 +147,25 @@
     return stopped;
   }
 
+  /**
+   * Takes over what may change while it runs, which is where discovery is; all else of a configuration needs a
+   * restart.
+   */
+  public void reload(NodeConfig fresh) {
+    loop.execute(() -> {
+      counters.add("config.reloaded");
+      if (!closed) {
+        discovery.moved(fresh.discovery());
+      }
+    });
+  }
+
+  /** A configuration that was to be taken over has a fault: the old one stands. */
+  public void reloadFailed(Malformed fault) {
+    loop.execute(() -> counters.add("config.faulty"));
+    Log.warn("the configuration stays as it was: " + fault.getMessage());
+  }
+
   private void noMoreStragglers() {
     clients.end();
     turn.whenIdle(this::waitForClients);
@@ -157,6 +177,7 @@
       alarms.set(Alarms.alarm(() -> turn.whenIdle(this::waitForClients)), clock.now() + config.settings().tickUs());
       return;
     }
+    closed = true;
     shards.close();
     discovery.close();
     Log.info("stopped: " + counters);
--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -118,7 +118,7 @@
 
   /** A list, or what changed in it, or that the watch was lost. */
   public void listSeen(ListKind kind, List<Member> members) {
-    if (kind != ListKind.LOST) {
+    if (kind != ListKind.LOST && kind != ListKind.MOVED) {
       boolean full = kind != ListKind.CHANGES;
       if (full) {
         list.clear();
--- a/src/test/java/tidebank/FakeHost.java
+++ b/src/test/java/tidebank/FakeHost.java
@@ -192,6 +192,7 @@
   String mode = "ask";
   private Gatherer gatherer;
   Process process;
+  Path path;
   BufferedReader errors;
 
   /** Shards 0 to 3 at four positions, each held by two servers: s0 at position 0, s1 at 1 and so on. */
@@ -227,7 +228,7 @@
   }
 
   Path configFile() throws IOException {
-    Path path = Files.createTempFile("gatherer", ".json");
+    path = Files.createTempFile("gatherer", ".json");
     path.toFile().deleteOnExit();
     return Files.writeString(path, config());
   }
@@ -407,7 +408,7 @@
     final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
     /** What to answer in place of the list: raw HTTP, "" to say nothing. */
     volatile String instead;
-    private int version = 41;
+    int version = 41;
     private String changed = "";
 
     FakeDiscovery(FakeSite site) {
--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -801,6 +801,40 @@
     }
   }
 
+  private void hup(String config) throws Exception {
+    java.nio.file.Files.writeString(site.path, config);
+    new ProcessBuilder("kill", "-HUP", String.valueOf(site.process.pid())).start().waitFor();
+  }
+
+  @Test
+  void onSighupDiscoveryIsFollowedToItsNewAddressAtOnceAndAFaultyFileChangesNothing() throws Exception {
+    try (FakeClient client = program(); FakeSite other = new FakeSite()) {
+      site.discovery.call("after=41");
+      String sound = site.config();
+      hup(sound.substring(0, sound.length() / 2));
+      while (!site.errors.readLine().contains("stays as it was: NODE_CONFIG: found")) {
+        assertThat(site.process.isAlive()).isTrue();
+      }
+      hup(sound.replace(site.discovery.address(), "nowhere"));
+      while (!site.errors.readLine().contains("stays as it was: NODE_DISCOVERY or discovery: found nowhere")) {
+        assertThat(site.process.isAlive()).isTrue();
+      }
+      // The new place counts its versions anew, and knows of other servers; the old one still watches.
+      hup(sound.replace(site.discovery.address(), other.discovery.address()));
+      other.discovery.version = 3;
+      other.discovery.call("after=3");
+      other.discovery.change(other.servers.get(0), "Ready");
+      other.discovery.call("after=4");
+      assertThat(client.ask(scan("whole", "a", 2000, 0.5, 0.5)).status()).isEqualTo(200);
+      assertThat(framesSoFar()).isEmpty();
+      hup(sound);
+      site.discovery.call("/registry/instances");
+      site.process.toHandle().destroy();
+      hup(sound);
+      assertThat(site.process.waitFor()).isZero();
+    }
+  }
+
   @Test
   void wrongArgumentsAndAWrongConfigurationStopTheStartWithOneLine() throws Exception {
     assertThat(site.program(java.util.Map.of()).waitFor()).isEqualTo(2);
