--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -255,6 +255,13 @@
         halve(shard);
       }
       case ERROR -> doubt(srv, DOUBT_BAD);
+      case SPOILT -> {
+        // All that was out on a connection with an unreadable answer is one fault, and no sign of a restart.
+        if (srv.spoiltAt != now) {
+          doubt(srv, DOUBT_BAD);
+        }
+        srv.spoiltAt = now;
+      }
       case BROKEN, UNREACHABLE -> {
         learnSilence(dispatch);
         idleLoss *= dispatch.outcome == Outcome.UNREACHABLE ? HALF : 1;
@@ -492,14 +499,10 @@
 
   /** The replica for the next dispatch of a part, or null where none can take it now. */
   private ShardServer place(Part part) {
-    List<ShardServer> open = new ArrayList<>();
-    for (ShardServer srv : fleet.holders(part.shard)) {
-      if (part.dispatches.stream().noneMatch(d -> d.out && d.server == srv) && coldRoom(srv)) {
-        open.add(srv);
-      }
-    }
     String salt = (part.key.isEmpty() ? part.scan.id : part.key) + '/' + part.shard + '/';
-    open.sort(Comparator.comparingDouble((ShardServer srv) -> -Chance.share(salt + srv.id)));
+    List<ShardServer> open = fleet.holders(part.shard).stream()
+        .filter(srv -> part.dispatches.stream().noneMatch(d -> d.out && d.server == srv) && coldRoom(srv))
+        .sorted(Comparator.comparingDouble((ShardServer srv) -> -Chance.share(salt + srv.id))).toList();
     if (open.isEmpty()) {
       return null;
     }
@@ -683,16 +686,13 @@
           : followAnswered ? Long.MAX_VALUE : askAt + settings.rules().askEveryUs());
     }
     for (Dispatch dispatch : unsettled) {
-      if (!dispatch.out) {
-        continue;
-      }
-      if (dispatch.wanted && !dispatch.sent) {
+      if (dispatch.out && dispatch.wanted && !dispatch.sent) {
         dispatch.sent = true;
         if (dispatch.anew) {
           actions.add(new Action.Close(dispatch.server.id));
         }
         actions.add(new Action.Send(dispatch.part.id, dispatch.server.id, dispatch.stopAt));
-      } else if (!dispatch.wanted && !dispatch.cancelled && settings.limits().cancel()) {
+      } else if (dispatch.out && !dispatch.wanted && !dispatch.cancelled && settings.limits().cancel()) {
         dispatch.cancelled = true;
         actions.add(new Action.Cancel(dispatch.part.id, dispatch.number));
       }
--- a/src/main/java/tidebank/front/ClientSide.java
+++ b/src/main/java/tidebank/front/ClientSide.java
@@ -15,7 +15,6 @@
 import java.util.function.BooleanSupplier;
 import tidebank.base.Counters;
 import tidebank.config.NodeConfig;
-import tidebank.model.TableType;
 import tidebank.node.Alarms;
 import tidebank.node.Clock;
 import tidebank.node.Turn;
@@ -45,8 +44,7 @@
     this.counters = counters;
     this.ready = ready;
     this.reader = new ScanReader(config.settings());
-    this.slowestUs = config.settings().tableTypes().values().stream()
-        .mapToLong(TableType::timeoutUs).max().orElse(0);
+    this.slowestUs = config.settings().slowestUs();
   }
 
   /** Binds the listening socket. */
--- a/src/main/java/tidebank/model/Outcome.java
+++ b/src/main/java/tidebank/model/Outcome.java
@@ -8,6 +8,8 @@
   TIMED_OUT(false),
   UNREACHABLE(true),
   BROKEN(false),
+  /** Its shard server sent something on its connection that no answer of this protocol is. */
+  SPOILT(false),
   CANCELLED(false),
   NEVER_SENT(true);
 
--- a/src/main/java/tidebank/model/Settings.java
+++ b/src/main/java/tidebank/model/Settings.java
@@ -13,6 +13,11 @@
     Limits limits,
     Rules rules) {
 
+  /** The longest query timeout: what a client asked for longer ago is of no use to anyone. */
+  public long slowestUs() {
+    return tableTypes.values().stream().mapToLong(TableType::timeoutUs).max().orElse(0);
+  }
+
   /** Shard s is held by the shard servers of the positions s to s + width - 1, taken around the ring. */
   public record Layout(int shards, int positions, int width, int bundleMax, long callUs) {}
 
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -27,6 +27,8 @@
   public double spill = Double.POSITIVE_INFINITY;
   public boolean sick;
   public boolean down;
+  /** When an answer of it was last unreadable. */
+  public long spoiltAt = -1;
   public long trialAt;
   public long trialWait;
   /** When it last answered us. */
--- a/src/main/java/tidebank/shard/Connection.java
+++ b/src/main/java/tidebank/shard/Connection.java
@@ -1,7 +1,6 @@
 package tidebank.shard;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -11,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -34,6 +34,12 @@
   private final ChannelFutureListener written = this::written;
   private final Alarms.Alarm idle = Alarms.alarm(this::unused);
   private final Alarms.Alarm probeLate = Alarms.alarm(this::probeLate);
+  private final Alarms.Alarm neverWhole = Alarms.alarm(() -> spoilt("a frame that never came whole"));
+  final FrameReader reader;
+  /** Parts given up here that may still be answered, and until when that is no surprise; the oldest first. */
+  private final Map<String, Long> givenUp = new LinkedHashMap<>();
+  /** The latest answer, until what was read with it shows that its frame was as long as it said. */
+  private Frames.Answer held;
   private Channel channel;
   private Call writing;
   private boolean up;
@@ -43,6 +49,7 @@
   Connection(Server server) {
     this.server = server;
     this.side = server.side;
+    this.reader = new FrameReader(side.transport.bodyMost() + Frames.LINE_MOST);
   }
 
   /** Begins to connect, once; what is to be sent was given to it before. */
@@ -144,6 +151,9 @@
 
   /** Tells the shard server that a part written to it is given up, where that is allowed. */
   void giveUp(Flight flight) {
+    long now = side.clock.now();
+    givenUp.values().removeIf(until -> until <= now);
+    givenUp.put(flight.order.part, now + side.slowestUs);
     if (side.mayGiveUp && channel.isActive()) {
       lastUsed = side.clock.now();
       channel.writeAndFlush(Frames.giveUp(channel.alloc(), flight.order.part), channel.voidPromise());
@@ -195,24 +205,56 @@
       throw new Malformed("a frame without a letter");
     }
     lastUsed = side.clock.now();
+    release();
     byte letter = frame.readByte();
     switch (letter) {
-      case Frames.ANSWER -> answered(Frames.answer(frame));
+      case Frames.ANSWER -> hold(Frames.answer(frame));
       case Frames.PROBE, Frames.PROBE_LOAD -> probed(letter, Frames.text(frame));
       case Frames.UNUSABLE -> throw new Malformed("a frame of ours could not be used: " + Frames.text(frame));
       default -> throw new Malformed("an unknown letter " + letter);
     }
   }
 
-  private void answered(Frames.Answer answer) {
-    Flight flight = out.get(answer.id());
-    if (flight == null) {
+  /**
+   * While other answers are to come, one counts once the next frame, or the end of what could be read, shows that it
+   * ends where its frame says. What follows the last one can't be its fault.
+   */
+  private void hold(Frames.Answer answer) throws Malformed {
+    if (!out.containsKey(answer.id())) {
+      if (givenUp.remove(answer.id()) == null) {
+        throw new Malformed("an answer to no part that is out here");
+      }
       side.counters.add("shard.answers-not-awaited");
+    } else {
+      held = answer;
+      if (out.size() == 1) {
+        release();
+      }
+    }
+  }
+
+  private void release() {
+    Frames.Answer answer = held;
+    held = null;
+    Flight flight = answer == null ? null : out.get(answer.id());
+    if (flight != null) {
+      server.end(flight, answer.outcome(), answer.value(), answer.report());
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (closed) {
       return;
     }
-    // The value outlives the buffer that it was read into.
-    byte[] value = answer.outcome() == Outcome.COMPLETED ? ByteBufUtil.getBytes(answer.value()) : null;
-    server.end(flight, answer.outcome(), value, answer.report());
+    if (!reader.begun()) {
+      side.alarms.clear(neverWhole);
+      release();
+    } else if (calls.isEmpty() && probes.isEmpty()) {
+      spoilt("more than was asked for");
+    } else {
+      side.alarms.set(neverWhole, side.clock.now() + side.transport.connectTimeoutUs());
+    }
   }
 
   private void probed(byte letter, String text) throws Malformed {
@@ -236,12 +278,25 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     if (!(cause instanceof java.io.IOException) || cause instanceof Malformed) {
-      Throwable root = cause.getCause() == null ? cause : cause.getCause();
-      side.counters.fault("shard.malformed", "server " + server.id + ": " + root);
+      spoilt(String.valueOf(cause.getCause() == null ? cause : cause.getCause()));
     }
     close();
   }
 
+  /** What came can't be read, nor what comes after it: whatever is out here has failed and may have run. */
+  private void spoilt(String why) {
+    if (!closed) {
+      side.counters.fault("shard.spoilt", "server " + server.id + ": " + why);
+      held = null;
+      for (Flight flight : List.copyOf(out.values())) {
+        if (flight.stage == Flight.Stage.OUT) {
+          server.end(flight, Outcome.SPOILT, null);
+        }
+      }
+      close();
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     ended();
@@ -262,6 +317,7 @@
     closed = true;
     side.alarms.clear(idle);
     side.alarms.clear(probeLate);
+    side.alarms.clear(neverWhole);
     server.removed(this);
     for (Call call : new ArrayList<>(calls)) {
       for (Flight flight : List.copyOf(call.flights)) {
--- a/src/main/java/tidebank/shard/Frames.java
+++ b/src/main/java/tidebank/shard/Frames.java
@@ -23,8 +23,8 @@
   /** Above the text of 64 KiB of any one part: its line. */
   static final int LINE_MOST = 1024;
 
-  /** An answer to a part. The value is a slice of what was read. */
-  record Answer(String id, Outcome outcome, Map<String, Double> report, ByteBuf value) {}
+  /** An answer to a part. The value, null unless it completed, outlives the buffer that it was read into. */
+  record Answer(String id, Outcome outcome, Map<String, Double> report, byte[] value) {}
 
   private Frames() {}
 
@@ -70,7 +70,11 @@
       case "later" -> Outcome.FULL;
       default -> throw new Malformed("an answer's end '" + words[1] + "'");
     };
-    return new Answer(words[0], outcome, report(words[3]), frame);
+    if (outcome == Outcome.COMPLETED && !ByteBufUtil.isText(frame, UTF_8)) {
+      throw new Malformed("a value that is no text");
+    }
+    return new Answer(words[0], outcome, report(words[3]),
+        outcome == Outcome.COMPLETED ? ByteBufUtil.getBytes(frame) : null);
   }
 
   /** A load report such as {@code inflight=7,util=0.61}; one that can't be read counts as none. */
@@ -79,7 +83,11 @@
     try {
       for (String pair : text.equals("-") || text.isEmpty() ? new String[0] : text.split(",")) {
         int equals = pair.indexOf('=');
-        report.put(pair.substring(0, Math.max(0, equals)), Double.valueOf(pair.substring(equals + 1)));
+        double value = Double.parseDouble(pair.substring(equals + 1));
+        if (equals <= 0 || !(value >= 0 && value <= Long.MAX_VALUE)) {
+          return Map.of();
+        }
+        report.put(pair.substring(0, equals), value);
       }
     } catch (NumberFormatException fault) {
       return Map.of();
--- a/src/main/java/tidebank/shard/ShardSide.java
+++ b/src/main/java/tidebank/shard/ShardSide.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -23,14 +22,13 @@
 
 /** Carries out dispatches on connections to shard servers and tells their ends. */
 public final class ShardSide implements ShardPort {
-  private static final int LENGTH_BYTES = 4;
-
   final Turn turn;
   final Clock clock;
   final Alarms alarms;
   final Counters counters;
   final NodeConfig.Transport transport;
   final boolean mayGiveUp;
+  final long slowestUs;
   /** Connections that are open or coming up. */
   int opened;
   private final NodeConfig config;
@@ -42,6 +40,7 @@
     this.config = config;
     this.transport = config.transport();
     this.mayGiveUp = config.settings().limits().cancel();
+    this.slowestUs = config.settings().slowestUs();
     this.template = template;
     this.turn = turn;
     this.clock = clock;
@@ -54,10 +53,7 @@
       @Override
       protected void initChannel(Channel channel) {
         channel.pipeline().addLast(
-            new LengthFieldBasedFrameDecoder(
-                transport.bodyMost() + Frames.LINE_MOST, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
-            new LengthFieldPrepender(LENGTH_BYTES),
-            connection);
+            connection.reader, new LengthFieldPrepender(FrameReader.LENGTH_BYTES), connection);
       }
     });
   }
--- a/src/test/java/tidebank/BrainTest.java
+++ b/src/test/java/tidebank/BrainTest.java
@@ -218,6 +218,19 @@
     assertThat(host.pass(60_000)).doesNotContain(new Action.Follow(true));
   }
 
+  @Test
+  void whereDiscoveryMovedItIsAskedAtOnceAndALossThereWaitsTheLeast() {
+    host.limits = new Settings.Limits(4, true, true, false, true, 0, 100, true);
+    host.start();
+    for (int i = 0; i < 8; i++) {
+      host.list(ListKind.LOST);
+      host.pass(9_000);
+    }
+    assertThat(host.list(ListKind.MOVED)).contains(new Action.Follow(true));
+    host.list(ListKind.LOST);
+    assertThat(host.pass(1000)).contains(new Action.Follow(true));
+  }
+
   // ---- rule 4: cold servers
 
   @Test
@@ -362,6 +375,26 @@
     assertThat(sent).isBetween(1, 8);
   }
 
+  @Test
+  void unreadableAnswersOnOneConnectionAreOneFaultAndNoSignOfARestart() {
+    host.layout = new Settings.Layout(1, 1, 1, 1, 0);
+    host.start();
+    for (int i = 0; i < 4; i++) {
+      host.scan("a" + i, "whole", 1);
+    }
+    host.end(Outcome.SPOILT, "a00", "a10", "a20", "a30");
+    host.end(Outcome.COMPLETED, "a00", "a10", "a20", "a30");
+    // None held back as from a server that has just started, no heaviest part first.
+    for (int i = 0; i < 8; i++) {
+      assertThat(sent(host.scan("b" + i, "whole", 1))).hasSize(1);
+    }
+    host.layout = new Settings.Layout(2, 1, 1, 1, 0);
+    host.start();
+    host.scan("c", "whole", 0.5, 0.5);
+    host.end(Outcome.SPOILT, "c0", "c1");
+    assertThat(sent(host.scan("d", "whole", 0.5, 0.5))).hasSize(2);
+  }
+
   @Test
   void afterBreaksTheHeaviestPartGoesFirstAndTheOthersOnceItIsIn() {
     host.start();
