--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -83,6 +83,8 @@
   /** The share of our latest dispatches that were overdue or refused, whatever the servers. */
   private double strain = OVERLOADED_SHARE * STRAIN_START;
   private long calls;
+  /** When the instance itself ends. */
+  private long endAt = Long.MAX_VALUE;
   private long now;
   private long armedAt = Long.MAX_VALUE;
   private long timers;
@@ -97,8 +99,7 @@
     this.askLeast = Math.min(TROUBLE_US, settings.rules().askEveryUs() / 10);
     this.chance = new Chance(seed);
     this.fleet = new Fleet(settings.layout());
-    this.shortestTarget = settings.tableTypes().values().stream()
-        .mapToLong(TableType::targetUs).filter(t -> t > 0).min().orElse(TROUBLE_US);
+    this.shortestTarget = settings.shortestTargetUs().orElse(TROUBLE_US);
     this.typical = shortestTarget * TYPICAL_START;
     this.service = typical;
     this.recent = typical;
@@ -143,6 +144,10 @@
       }
     } else if (event instanceof Event.TimerDue due && due.token() == timers) {
       armedAt = Long.MAX_VALUE;
+    } else if (event instanceof Event.Ending ending) {
+      endAt = ending.at();
+      scans.values().forEach(scan -> scan.endBy(endAt));
+      scans.values().forEach(agenda::changed);
     }
   }
 
@@ -170,7 +175,7 @@
     long left = event.limitAt() - now;
     TableType type = settings.tableTypes().getOrDefault(event.type(),
         new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 0, 1, 1, 0));
-    Scan scan = new Scan(event.id(), event.number(), type, event.limitAt());
+    Scan scan = new Scan(event.id(), event.number(), type, Math.min(event.limitAt(), endAt));
     scan.targetAt = Math.min(firstAsked(event, type) + type.targetUs(), scan.limitAt);
     scans.put(scan.id, scan);
     byNumber.put(scan.number, scan);
@@ -255,13 +260,8 @@
         halve(shard);
       }
       case ERROR -> doubt(srv, DOUBT_BAD);
-      case SPOILT -> {
-        // All that was out on a connection with an unreadable answer is one fault, and no sign of a restart.
-        if (srv.spoiltAt != now) {
-          doubt(srv, DOUBT_BAD);
-        }
-        srv.spoiltAt = now;
-      }
+      // All that was out on a connection with an unreadable answer is one fault, and no sign of a restart.
+      case SPOILT -> doubt(srv, srv.firstSpoilt(now) ? DOUBT_BAD : 0);
       case BROKEN, UNREACHABLE -> {
         learnSilence(dispatch);
         idleLoss *= dispatch.outcome == Outcome.UNREACHABLE ? HALF : 1;
@@ -315,7 +315,7 @@
 
   private void doubt(ShardServer srv, double evidence) {
     srv.doubt = Math.min(DOUBT_BOUND, srv.doubt + evidence);
-    if (srv.doubt >= DOUBT_BOUND) {
+    if (srv.doubt >= DOUBT_BOUND && evidence > 0) {
       srv.sick = true;
       long most = shortestTarget << TRIAL_DOUBLINGS;
       srv.trialWait = Math.min(Math.max(2 * srv.trialWait, shortestTarget / 2), most);
--- a/src/main/java/tidebank/config/NodeConfig.java
+++ b/src/main/java/tidebank/config/NodeConfig.java
@@ -67,9 +67,12 @@
       long listWaitUs,
       long listGraceUs,
       long listTimeoutUs,
-      long stragglersUs) {
+      long stopWithinUs,
+      long takeOnUs) {
     static Transport of(JsonNode settings, Settings read) throws Malformed {
       JsonNode limits = settings.path("limits");
+      // SIGKILL comes no sooner than the longest deadline, at most 3 s, and 0.7 s after SIGTERM; 0.2 s stay free.
+      long stopWithin = Math.min(read.slowestUs(), 3 * SECOND_US) + SECOND_US / 2;
       long wait = Math.min(read.rules().askEveryUs(), 60 * SECOND_US);
       return new Transport(
           Math.max(1000, Json.span(limits, "connectTimeoutMs", 250)),
@@ -80,7 +83,9 @@
           wait,
           2 * SECOND_US,
           6 * SECOND_US,
-          7 * SECOND_US / 10);
+          stopWithin,
+          // What comes within 0.7 s is a straggler; beyond, a scan is taken while a target time is left for it.
+          Math.max(7 * SECOND_US / 10, stopWithin - read.shortestTargetUs().orElse(stopWithin)));
     }
   }
 
--- a/src/main/java/tidebank/front/ClientConnection.java
+++ b/src/main/java/tidebank/front/ClientConnection.java
@@ -176,7 +176,7 @@
     boolean wrote = false;
     while (!exchanges.isEmpty() && exchanges.peek().response != null) {
       FullHttpResponse response = exchanges.poll().response;
-      boolean last = exchanges.isEmpty() && (surplus || ending || side.draining());
+      boolean last = exchanges.isEmpty() && (surplus || ending || side.ended());
       HttpUtil.setKeepAlive(response, !last);
       wrote = true;
       if (last) {
--- a/src/main/java/tidebank/front/ClientSide.java
+++ b/src/main/java/tidebank/front/ClientSide.java
@@ -117,16 +117,16 @@
     return config.budgets().pipelineMost();
   }
 
-  boolean draining() {
-    return draining;
+  boolean ended() {
+    return ended;
   }
 
-  /** From now on every answer ends its connection. */
+  /** Not ready from now on: new clients go elsewhere, those that are here are served on. */
   public void drain() {
     draining = true;
   }
 
-  /** No new connections; those without a request end. */
+  /** No new connections; those without a request end, the others with their answers. */
   public void end() {
     ended = true;
     listener.close();
--- a/src/main/java/tidebank/model/Event.java
+++ b/src/main/java/tidebank/model/Event.java
@@ -42,6 +42,9 @@
   /** A scan whose client has left. */
   record ScanLapsed(String id) implements Event {}
 
+  /** The instance ends: every scan, also one still to come, needs its final answer before this. */
+  record Ending(long at) implements Event {}
+
   record TimerDue(long token) implements Event {}
 
   record Probed(String server, Outcome outcome, long tookUs, Map<String, Double> report) implements Event {}
--- a/src/main/java/tidebank/model/Settings.java
+++ b/src/main/java/tidebank/model/Settings.java
@@ -1,6 +1,7 @@
 package tidebank.model;
 
 import java.util.Map;
+import java.util.OptionalLong;
 
 /** The settings an instance is started with. Times are whole microseconds. */
 public record Settings(
@@ -18,6 +19,10 @@
     return tableTypes.values().stream().mapToLong(TableType::timeoutUs).max().orElse(0);
   }
 
+  public OptionalLong shortestTargetUs() {
+    return tableTypes.values().stream().mapToLong(TableType::targetUs).filter(t -> t > 0).min();
+  }
+
   /** Shard s is held by the shard servers of the positions s to s + width - 1, taken around the ring. */
   public record Layout(int shards, int positions, int width, int bundleMax, long callUs) {}
 
--- a/src/main/java/tidebank/node/Gatherer.java
+++ b/src/main/java/tidebank/node/Gatherer.java
@@ -134,14 +134,19 @@
     return loop.submit(() -> clients.ready()).syncUninterruptibly().getNow();
   }
 
-  /** Begins to stop: not ready, stragglers served, all that was taken answered. Completes when that is done. */
+  /**
+   * Begins to stop: not ready, but serving whoever still comes while there is time enough for it, then no more, and
+   * all that was taken answered. Completes when that is done.
+   */
   public CompletableFuture<Void> stop() {
     loop.execute(() -> {
       if (!stopping) {
         stopping = true;
         Log.info("stopping");
         clients.drain();
-        alarms.set(Alarms.alarm(this::noMoreStragglers), clock.now() + config.transport().stragglersUs());
+        long now = clock.now();
+        turn.ending(now + config.transport().stopWithinUs());
+        alarms.set(Alarms.alarm(this::noMoreRequests), now + config.transport().takeOnUs());
       }
     });
     return stopped;
@@ -166,7 +171,7 @@
     Log.warn("the configuration stays as it was: " + fault.getMessage());
   }
 
-  private void noMoreStragglers() {
+  private void noMoreRequests() {
     clients.end();
     turn.whenIdle(this::waitForClients);
   }
--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -130,6 +130,11 @@
     tell(new Event.ListSeen(kind, members.stream().map(Member::line).toList()));
   }
 
+  /** All that is held, and what still comes, is to be answered before this. */
+  void ending(long at) {
+    tell(new Event.Ending(at));
+  }
+
   /** Runs something once no scan is held and nothing waits to be decided. */
   void whenIdle(Runnable then) {
     whenIdle = then;
--- a/src/test/java/tidebank/BrainTest.java
+++ b/src/test/java/tidebank/BrainTest.java
@@ -231,6 +231,17 @@
     assertThat(host.pass(1000)).contains(new Action.Follow(true));
   }
 
+  @Test
+  void whatIsHeldAndWhatComesIsAnsweredBeforeTheInstanceEnds() {
+    host.start();
+    host.scan("a", "once", 1);
+    host.tell(new tidebank.model.Event.Ending((host.nowMs + 700) * FakeHost.MS));
+    host.pass(100);
+    host.scan("b", "once", 1);
+    host.pass(599);
+    assertThat(host.verdicts()).hasSize(2);
+  }
+
   // ---- rule 4: cold servers
 
   @Test
