--- a/src/main/java/tidebank/config/NodeConfig.java
+++ b/src/main/java/tidebank/config/NodeConfig.java
@@ -49,10 +49,13 @@
       int readMost,
       int writeLow,
       int writeHigh) {
-    /** A quarter each for clients and for shard servers, an eighth for refusals; the rest stays free. */
+    /**
+     * Three eighths for clients, as they hold a third at most for requests, an eighth for refusals, a quarter for
+     * shard servers; the rest stays free.
+     */
     static Budgets of(int sockets) {
       int eighth = sockets / 8;
-      return new Budgets(2 * eighth, 3 * eighth, 2 * eighth, Math.max(1, eighth / 8),
+      return new Budgets(3 * eighth, 4 * eighth, 2 * eighth, Math.max(1, eighth / 8),
           16, 64, 2 * KIB, 16 * KIB, 32 * KIB, 128 * KIB);
     }
   }
@@ -68,7 +71,9 @@
       long listGraceUs,
       long listTimeoutUs,
       long stopWithinUs,
-      long takeOnUs) {
+      long takeOnUs,
+      long requestWithinUs,
+      long restLeastUs) {
     static Transport of(JsonNode settings, Settings read) throws Malformed {
       JsonNode limits = settings.path("limits");
       // SIGKILL comes no sooner than the longest deadline, at most 3 s, and 0.7 s after SIGTERM; 0.2 s stay free.
@@ -85,7 +90,11 @@
           6 * SECOND_US,
           stopWithin,
           // What comes within 0.7 s is a straggler; beyond, a scan is taken while a target time is left for it.
-          Math.max(7 * SECOND_US / 10, stopWithin - read.shortestTargetUs().orElse(stopWithin)));
+          Math.max(7 * SECOND_US / 10, stopWithin - read.shortestTargetUs().orElse(stopWithin)),
+          // A client is owed an error or an end within 3 s of connecting; half a second stays free.
+          5 * SECOND_US / 2,
+          // A connection without a request may be closed after 2 s.
+          2 * SECOND_US);
     }
   }
 
--- a/src/main/java/tidebank/front/ClientConnection.java
+++ b/src/main/java/tidebank/front/ClientConnection.java
@@ -6,8 +6,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -28,9 +30,12 @@
   private final ClientSide side;
   private final boolean surplus;
   private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
+  /** A first or next request that does not come whole, or an answer that is not read: it ends the connection. */
   private final Alarms.Alarm slow = Alarms.alarm(this::slow);
   private Channel channel;
   private long headAt;
+  private long restsFrom = Long.MAX_VALUE;
+  private boolean asked;
   private boolean ending;
   /** The client still sends what is not wanted: ending at once would reset the response under way to it. */
   private boolean lingering;
@@ -48,7 +53,13 @@
     return exchanges.isEmpty() && headAt == 0;
   }
 
+  /** Whether it has asked for nothing so far, or has rested for as long as clients may count on. */
+  boolean mayGiveWay() {
+    return !asked || side.clock.now() - restsFrom >= side.transport.restLeastUs();
+  }
+
   void close() {
+    side.left(this);
     channel.close();
   }
 
@@ -59,16 +70,21 @@
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
-    if (surplus) {
-      side.alarms.set(slow, side.clock.now() + side.slowestUs);
-    }
+    waitFor();
   }
 
-  /** The first bytes of a request are here: from now on its time runs. */
+  private void waitFor() {
+    side.alarms.set(slow, side.clock.now() + side.transport.requestWithinUs());
+  }
+
+  /** The first bytes of a request are here: from now on its time runs. A first one has had it since it connected. */
   void begun() {
     if (headAt == 0) {
       headAt = side.clock.now();
-      side.alarms.set(slow, headAt + side.slowestUs);
+      if (asked) {
+        side.asked(this);
+        waitFor();
+      }
     }
   }
 
@@ -78,9 +94,14 @@
       if (!ending && surplus && message instanceof HttpRequest) {
         side.counters.add("front.refused-connections");
         refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections");
+      } else if (!ending && exchanges.size() >= side.pipelineMost() && message instanceof HttpRequest) {
+        side.counters.add("front.refused-at-once");
+        refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests at once");
       } else if (!ending && message instanceof FullHttpRequest request) {
         begun();
         side.alarms.clear(slow);
+        asked = true;
+        side.asked(this);
         long at = headAt;
         headAt = 0;
         took(request, at);
@@ -109,7 +130,8 @@
   }
 
   private void answer(Exchange exchange, FullHttpRequest request, long at) {
-    if (request.decoderResult().isFailure()) {
+    // A transfer coding that is left here is none that Netty has read.
+    if (request.decoderResult().isFailure() || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
       ending = true;
       side.counters.add("front.malformed");
       exchange.respond(HttpResponseStatus.BAD_REQUEST, "no valid HTTP");
@@ -137,6 +159,8 @@
     exchanges.add(exchange);
     ending = true;
     lingering = true;
+    asked = true;
+    side.asked(this);
     exchange.respond(status, text);
   }
 
@@ -181,6 +205,7 @@
       wrote = true;
       if (last) {
         ending = true;
+        waitFor();
         channel.writeAndFlush(response).addListener(lingering ? END_OUTPUT : ChannelFutureListener.CLOSE);
         return;
       }
@@ -189,11 +214,22 @@
     if (wrote) {
       channel.flush();
       readOn();
+      if (isIdle()) {
+        restsFrom = side.clock.now();
+        side.rests(this);
+      }
     }
   }
 
+  /** Reads on where what was answered is being read; else it ends in time. */
   private void readOn() {
-    channel.config().setAutoRead(exchanges.size() < side.pipelineMost() && channel.isWritable());
+    boolean writable = channel.isWritable();
+    channel.config().setAutoRead(exchanges.size() < side.pipelineMost() && writable);
+    if (!writable) {
+      waitFor();
+    } else if (headAt == 0 && !ending) {
+      side.alarms.clear(slow);
+    }
   }
 
   @Override
@@ -203,7 +239,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    if (cause instanceof IOException) {
+    if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
       context.close();
       return;
     }
@@ -231,7 +267,7 @@
   }
 
   private void slow() {
-    side.counters.add("front.slow-requests");
+    side.counters.add("front.closed-slow");
     close();
   }
 }
--- a/src/main/java/tidebank/front/ClientSide.java
+++ b/src/main/java/tidebank/front/ClientSide.java
@@ -8,7 +8,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -26,11 +27,14 @@
   final Alarms alarms;
   final Counters counters;
   final ScanReader reader;
-  /** A request that has not come whole within the longest query timeout is no use to anyone. */
-  final long slowestUs;
+  final NodeConfig.Transport transport;
   private final NodeConfig config;
   private final BooleanSupplier ready;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
+  /** Those that have not asked for anything yet, the oldest first: the first to give way. */
+  private final Set<ClientConnection> unasked = new LinkedHashSet<>();
+  /** Those between two requests, the one that has rested longest first. */
+  private final Set<ClientConnection> resting = new LinkedHashSet<>();
   private Channel listener;
   private boolean draining;
   private boolean ended;
@@ -44,7 +48,7 @@
     this.counters = counters;
     this.ready = ready;
     this.reader = new ScanReader(config.settings());
-    this.slowestUs = config.settings().slowestUs();
+    this.transport = config.transport();
   }
 
   /** Binds the listening socket. */
@@ -60,9 +64,10 @@
   }
 
   private void accepted(Channel channel) {
-    boolean surplus = connections.size() >= config.budgets().clients() && !closeOneIdle();
+    boolean surplus = connections.size() >= config.budgets().clients() && !makeRoom();
     ClientConnection connection = new ClientConnection(this, surplus);
     connections.add(connection);
+    unasked.add(connection);
     channel.pipeline().addLast(
         new ChannelInboundHandlerAdapter() {
           @Override
@@ -71,7 +76,8 @@
             context.fireChannelRead(message);
           }
         },
-        new HttpServerCodec());
+        new StrictRequestDecoder(),
+        new HttpResponseEncoder());
     if (!surplus) {
       channel.pipeline().addLast(bodies(connection));
     }
@@ -90,19 +96,30 @@
     };
   }
 
-  private boolean closeOneIdle() {
-    for (ClientConnection connection : connections) {
-      if (connection.isIdle()) {
-        connection.close();
-        counters.add("front.closed-idle");
-        return true;
-      }
+  /** Closes the oldest connection that never asked, else the one that rests longest, if that is long enough. */
+  private boolean makeRoom() {
+    Iterator<ClientConnection> oldest = (unasked.isEmpty() ? resting : unasked).iterator();
+    ClientConnection connection = oldest.hasNext() ? oldest.next() : null;
+    if (connection == null || !connection.mayGiveWay()) {
+      return false;
     }
-    return false;
+    counters.add("front.closed-for-room");
+    connection.close();
+    return true;
+  }
+
+  void asked(ClientConnection connection) {
+    unasked.remove(connection);
+    resting.remove(connection);
+  }
+
+  void rests(ClientConnection connection) {
+    resting.add(connection);
   }
 
   void left(ClientConnection connection) {
     connections.remove(connection);
+    asked(connection);
     if (!ended && connections.size() < config.budgets().clientsMost()) {
       listener.config().setAutoRead(true);
     }
--- a/src/main/java/tidebank/front/ScanReader.java
+++ b/src/main/java/tidebank/front/ScanReader.java
@@ -2,8 +2,11 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.io.IOException;
@@ -33,9 +36,11 @@
 
   private static final Pattern ID = Pattern.compile("[A-Za-z0-9_-]{1,64}");
   private static final Pattern TIME_LEFT = Pattern.compile("([0-9]{1,12}(?:\\.[0-9]{1,6})?)([mu])");
-  private static final double SUM_MOST = 1.05;
+  /** How far each share may be off by rounding. */
+  private static final double ROUNDING = 0.0005;
 
-  private final ObjectMapper mapper = new ObjectMapper();
+  private final ObjectMapper mapper = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+      .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
   private final Settings settings;
 
   ScanReader(Settings settings) {
@@ -104,7 +109,7 @@
       sum += weight;
       ranges.add(new Range(shard.intValue(), weight, range.path("hash").asText("")));
     }
-    if (!(sum > 0 && sum <= SUM_MOST)) {
+    if (!(Math.abs(sum - 1) <= ROUNDING * (1 + ranges.size()))) {
       throw new Rejected(400, "the portions do not make one whole");
     }
     return ranges;
--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -13,6 +13,7 @@
 import tidebank.model.Action;
 import tidebank.model.Event;
 import tidebank.model.Event.ListKind;
+import tidebank.model.Event.ServerStatus;
 import tidebank.model.Outcome;
 import tidebank.model.Settings;
 import tidebank.node.HeldScan.HeldPart;
@@ -124,6 +125,7 @@
         list.clear();
       }
       members.forEach(member -> list.put(member.line().server(), member));
+      list.values().removeIf(member -> member.line().status() == ServerStatus.GONE);
       shards.listed(members, full);
     }
     counters.add("list." + kind.name().toLowerCase(Locale.ROOT));
--- a/src/main/java/tidebank/shard/Connection.java
+++ b/src/main/java/tidebank/shard/Connection.java
@@ -250,7 +250,7 @@
     if (!reader.begun()) {
       side.alarms.clear(neverWhole);
       release();
-    } else if (calls.isEmpty() && probes.isEmpty()) {
+    } else if (calls.isEmpty() && probes.isEmpty() && givenUp.isEmpty()) {
       spoilt("more than was asked for");
     } else {
       side.alarms.set(neverWhole, side.clock.now() + side.transport.connectTimeoutUs());
--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -1,6 +1,7 @@
 package tidebank;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static tidebank.FakeSite.FakeClient.post;
 import static tidebank.FakeSite.FakeClient.scan;
 import static tidebank.FakeSite.FakeShardServer.frame;
@@ -12,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
@@ -288,6 +290,10 @@
         {"400", post("/whole", "a", "10m", one.replace("\"portion\":1", "\"portion\":-0.5"))},
         {"400", post("/whole", "a", "10m", one.replace("\"portion\":1", "\"portion\":1e300"))},
         {"400", post("/whole", "a", "10m", one.replace("]", ",{\"range\":0,\"portion\":0}]"))},
+        {"400", post("/whole", "a", "10m", one.replace("\"portion\":1", "\"portion\":0.9"))},
+        {"400", post("/whole", "a", "10m", one.replace("\"portion\":1", "\"portion\":1.1"))},
+        {"400", post("/whole", "a", "10m", one.replace("\"portion\":1", "\"portion\":0.5,\"portion\":1"))},
+        {"400", post("/whole", "a", "10m", one + "x")},
         {"413", post("/whole", "a", "10m", "x".repeat(66_000))},
         {"400", "POST /whole HTTP/1.1\r\nno header\u0000at all\r\n\r\n"},
         {"400", "GET /health/live HTTP/1.1\r\nBig: " + "x".repeat(20_000) + "\r\n\r\n"},
@@ -318,21 +324,22 @@
   }
 
   @Test
-  void connectionsBeyondTheBudgetAreRefusedPlainlyAndIdleOnesMakeRoom() throws Exception {
+  void connectionsBeyondTheBudgetAreRefusedPlainlyAndSilentOnesThenRestedOnesMakeRoom() throws Exception {
     site.sockets = 128;
     site.targetMs = 10_000;
     silence();
     site.start();
     List<FakeClient> busy = new ArrayList<>();
-    try (FakeClient idle = site.client()) {
-      assertThat(idle.ready()).isEqualTo(200);
-      for (int i = 0; i < 32; i++) {
+    try (FakeClient rests = site.client(); FakeClient silent = site.client()) {
+      for (int i = 0; i < 47; i++) {
         FakeClient client = site.client();
         busy.add(client);
         client.send(scan("whole", "b" + i, 29_000, 1));
         anyFrame();
+        assertThat(i > 0 || rests.ready() == 200).isTrue();
       }
-      assertThat(idle.ended()).isTrue();
+      assertThat(silent.ended()).isTrue();
+      assertThat(rests.ready()).isEqualTo(200);
       try (FakeClient surplus = site.client()) {
         // Refused by its head: what a connection beyond the budget sends is not kept.
         surplus.send(post("/whole", "d", "10m", "x".repeat(9000)).substring(0, 300));
@@ -344,25 +351,95 @@
         assertThat(refused.headers()).containsEntry("connection", "close");
         assertThat(surplus.ended()).isTrue();
       }
+      // Once it has rested for 2 s it gives way to whoever comes.
+      long start = System.nanoTime();
+      for (int status = 503; status != 200; ) {
+        try (FakeClient again = site.client()) {
+          status = again.ready();
+        }
+      }
+      assertThat((System.nanoTime() - start) / 1_000_000).isGreaterThan(1500);
+      assertThat(rests.ended()).isTrue();
     } finally {
       for (FakeClient client : busy) {
         client.close();
       }
     }
-    // As soon as it has met the first of those ends there is room again.
-    for (int status = 503; status != 200; ) {
-      try (FakeClient again = site.client()) {
-        status = again.ready();
+  }
+
+  @Test
+  void whatNeverComesWholeIsEndedWithin3SecondsOfConnecting() throws Exception {
+    site.start();
+    String whole = scan("whole", "a", 2000, 1);
+    String[] halves = {"", "P", "POST /whole HTTP/1.1\r\nX-Corr", whole.substring(0, whole.length() - 1),
+        whole.replaceAll("Content-Length: .*", "Content-Length: 60000"),
+        whole.replaceAll("Content-Length: .*", "Transfer-Encoding: chunked").replaceAll("\\{.*", "5\r\n{\"ran")};
+    long start = System.nanoTime();
+    List<FakeClient> clients = new ArrayList<>();
+    for (String half : halves) {
+      clients.add(site.client().send(half));
+    }
+    for (FakeClient client : clients) {
+      assertThat(client.ended()).isTrue();
+      client.close();
+    }
+    assertThat((System.nanoTime() - start) / 1_000_000).isLessThan(3000);
+    assertThat(framesSoFar()).isEmpty();
+  }
+
+  @Test
+  void aRequestOfTwoLengthsIsRefusedAndNothingBehindItIsRead() throws Exception {
+    site.start();
+    String hidden = scan("whole", "hidden", 2000, 1);
+    String two = "\r\nX-Two: ";
+    String[] heads = {"Transfer-Encoding: chunked", "Transfer-Encoding: gzip", "transfer-encoding:chunked, identity",
+        "Content-Length: 7", "Content-Length: -1", "Content-Length: 1e3"};
+    for (String head : heads) {
+      try (FakeClient client = site.client()) {
+        String odd = post("/whole", "a", "2000m", "0\r\n\r\n" + hidden).replace("\r\nX-Account: a", "\r\n" + head);
+        assertThat(client.ask(odd).status()).as(head + two).isEqualTo(400);
+        assertThat(client.ended()).isTrue();
       }
     }
+    assertThat(framesSoFar()).isEmpty();
+  }
+
+  @Test
+  void aClientThatDoesNotReadItsAnswersIsCutOff() throws Exception {
+    silence();
+    only();
+    site.limits.putAll(java.util.Map.of("mostHeld", 10_000, "connectTimeoutMs", 2000));
+    site.start();
+    try (FakeClient client = site.client()) {
+      assertThatThrownBy(() -> {
+        for (int i = 0; ; i++) {
+          client.send(scan("whole", "a" + i, 2900, 1));
+          Frame frame = site.servers.get(1).frames.poll(100, java.util.concurrent.TimeUnit.MILLISECONDS);
+          if (frame != null && frame.letter() == 'm') {
+            frame.answer("good", "x".repeat(60_000));
+          }
+        }
+      }).isInstanceOf(SocketException.class);
+    }
   }
 
   @Test
-  void aRequestThatNeverComesWholeEndsItsConnectionOnceItIsOfNoUse() throws Exception {
+  void ofHundredsOfRequestsAtOnceOnlyAFewAreTaken() throws Exception {
+    silence();
     site.start();
     try (FakeClient client = site.client()) {
-      client.send("POST /whole HTTP/1.1\r\nX-Corr");
+      StringBuilder many = new StringBuilder();
+      for (int i = 0; i < 300; i++) {
+        many.append(scan("whole", "a" + i, 1000, 1));
+      }
+      client.send(many.toString());
+      int refused = 0;
+      for (int i = 0; i < 17; i++) {
+        refused += client.read().status() == 503 ? 1 : 0;
+      }
+      assertThat(refused).isPositive();
       assertThat(client.ended()).isTrue();
+      assertThat(framesSoFar().stream().map(Frame::part).distinct().count()).isLessThanOrEqualTo(16);
     }
   }
 
