--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -110,9 +110,7 @@
   public List<Action> on(long clock, List<Event> events) {
     now = clock;
     actions.clear();
-    for (Event event : events) {
-      take(event);
-    }
+    events.forEach(this::take);
     review();
     settle();
     return List.copyOf(actions);
@@ -146,8 +144,7 @@
       armedAt = Long.MAX_VALUE;
     } else if (event instanceof Event.Ending ending) {
       endAt = ending.at();
-      scans.values().forEach(scan -> scan.endBy(endAt));
-      scans.values().forEach(agenda::changed);
+      scans.values().forEach(scan -> agenda.changed(scan.endBy(endAt)));
     }
   }
 
@@ -205,8 +202,8 @@
     judge(dispatch, ended.tookUs());
     boolean open = part.scan.verdict == Verdict.OPEN;
     if (ended.outcome() == Outcome.BROKEN) {
-      part.scan.broken++;
-      breaks.add(now, SCOUT_TARGETS * shortestTarget);
+      part.scan.broken += dispatch.server == part.scan.brokeOn ? 0 : 1;
+      part.scan.brokeOn = dispatch.server;
     }
     if (open && ended.outcome() == Outcome.COMPLETED) {
       part.stage = Stage.IN;
@@ -235,10 +232,11 @@
     switch (dispatch.outcome) {
       case COMPLETED -> {
         srv.heardAt = now;
-        if (srv.down) {
-          srv.down = false;
+        // Up again, as it seems, where nothing sent to it came through for longer than a lone refusal lasts.
+        if (dispatch.sentAt - shortestTarget * HALF >= srv.downAt) {
           started(srv, now);
         }
+        srv.downAt = Long.MAX_VALUE;
         typical += (tookUs - typical) * LEARN;
         recent += (tookUs - recent) * Math.max(LEARN, 1 - Math.exp((recentAt - now) / (double) EVIDENCE_US));
         recentAt = now;
@@ -260,15 +258,19 @@
         halve(shard);
       }
       case ERROR -> doubt(srv, DOUBT_BAD);
-      // All that was out on a connection with an unreadable answer is one fault, and no sign of a restart.
-      case SPOILT -> doubt(srv, srv.firstSpoilt(now) ? DOUBT_BAD : 0);
-      case BROKEN, UNREACHABLE -> {
+      // A lone connection ends for many a reason: all that was out on it is one fault, and no sign of a restart.
+      case SPOILT, BROKEN, UNREACHABLE -> {
         learnSilence(dispatch);
-        idleLoss *= dispatch.outcome == Outcome.UNREACHABLE ? HALF : 1;
-        if (!reaped(dispatch)) {
-          srv.down = true;
-          doubt(srv, DOUBT_BOUND);
+        doubt(srv, srv.firstFault(now) && !reaped(dispatch) ? DOUBT_BAD : 0);
+        if (dispatch.outcome == Outcome.UNREACHABLE) {
+          idleLoss *= HALF;
+          srv.downAt = Math.min(srv.downAt, now);
+          // Sick so, with parts out when it broke: something brought it down.
+          if (srv.sick && now - srv.brokeAt < EVIDENCE_US) {
+            breaks.add(now, SCOUT_TARGETS * shortestTarget);
+          }
         }
+        srv.brokeAt = dispatch.outcome == Outcome.BROKEN ? now : Long.MIN_VALUE / 2;
       }
       default -> { }
     }
@@ -294,7 +296,7 @@
 
   /** While answers wait, a part out for long tells of the queue; a failed connection never does. */
   private void learnSilence(Dispatch dispatch) {
-    if (!waiting() || dispatch.outcome == Outcome.UNREACHABLE) {
+    if (!waiting() && dispatch.outcome != Outcome.SPOILT || dispatch.outcome == Outcome.UNREACHABLE) {
       idleLoss += dispatch.idle ? (1 - idleLoss) * LEARN_FAST : 0;
       busyLoss += dispatch.idle ? 0 : (1 - busyLoss) * LEARN_FAST;
     }
@@ -356,8 +358,7 @@
         select(scan);
       }
       if (scan.verdict == Verdict.OPEN) {
-        List<Part> going = scan.selected ? scan.parts : scan.parts.subList(0, 1);
-        going.forEach(part -> pursue(part));
+        (scan.selected ? scan.parts : scan.parts.subList(0, 1)).forEach(this::pursue);
         conclude(scan);
       }
     }
@@ -669,9 +670,7 @@
   // ---- the one place that turns what is wanted into actions
 
   private void settle() {
-    for (Scan scan : decided) {
-      announce(scan);
-    }
+    decided.forEach(this::announce);
     decided.clear();
     long wakeAt = agenda.next();
     if (settings.limits().listOnRequest()) {
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -26,8 +26,10 @@
   /** How many of our parts it may hold as a home before a part goes elsewhere; no bound before its first end. */
   public double spill = Double.POSITIVE_INFINITY;
   public boolean sick;
-  public boolean down;
-  private long spoiltAt = -1;
+  /** Since when it can't be reached, as far as we know; and when a connection to it last broke with parts out. */
+  public long downAt = Long.MAX_VALUE;
+  public long brokeAt = Long.MIN_VALUE / 2;
+  private long faultAt = -1;
   public long trialAt;
   public long trialWait;
   /** When it last answered us. */
@@ -39,10 +41,10 @@
     this.id = id;
   }
 
-  /** Takes note of an unreadable answer; whether it is the first at this moment. */
-  public boolean firstSpoilt(long now) {
-    boolean first = spoiltAt != now;
-    spoiltAt = now;
+  /** Takes note of a connection's fault; whether it is the first at this moment. */
+  public boolean firstFault(long now) {
+    boolean first = faultAt != now;
+    faultAt = now;
     return first;
   }
 }
--- a/src/main/java/tidebank/shard/Server.java
+++ b/src/main/java/tidebank/shard/Server.java
@@ -109,6 +109,10 @@
   }
 
   void end(Flight flight, Outcome outcome, byte[] value, Map<String, Double> report) {
+    // A write that fails at once may end its connection, and all on it, before it returns.
+    if (flight.stage == Flight.Stage.ENDED) {
+      return;
+    }
     flight.stage = Flight.Stage.ENDED;
     side.alarms.clear(flight);
     Call call = flight.call;
