--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -283,6 +283,7 @@
   private void overdue(Dispatch dispatch) {
     if (!dispatch.overdue) {
       dispatch.overdue = true;
+      dispatch.server.silentAt = Math.max(dispatch.server.silentAt, dispatch.sentAt);
       learnSilence(dispatch);
       if (!reaped(dispatch)) {
         tell(dispatch.server, waiting());
@@ -576,10 +577,11 @@
     Dispatch dispatch = new Dispatch(part, part.dispatches.size(), srv, now, srv.call);
     dispatch.dueAt = now + patience(scan);
     dispatch.idle = srv.heardAt > 0 && now - srv.heardAt >= shortestTarget * HALF;
-    if (reaped(dispatch) && (scan.type.repeat() != Repeat.REPLAYABLE || chance.next() >= LEARN)) {
-      dispatch.idle = false;
-      dispatch.anew = true;
-    }
+    // Nothing heard since an overdue part was sent: its connection may have fallen silent, not its server.
+    dispatch.anew = srv.silentAt > srv.heardAt
+        || reaped(dispatch) && (scan.type.repeat() != Repeat.REPLAYABLE || chance.next() >= LEARN);
+    dispatch.idle &= !dispatch.anew;
+    srv.silentAt = 0;
     part.dispatches.add(dispatch);
     // Where it could not be called back, a dispatch has to end by itself before the next may go.
     boolean one = !settings.limits().secondCopies() && !settings.limits().cancel() && furtherEver(part);
--- a/src/main/java/tidebank/model/Action.java
+++ b/src/main/java/tidebank/model/Action.java
@@ -21,7 +21,7 @@
 
   record Probe(String server) implements Action {}
 
-  /** Close this instance's idle connections to a shard server. */
+  /** Use this instance's present connections to a shard server no more; each closes once nothing is out on it. */
   record Close(String server) implements Action {}
 
   record Follow(boolean on) implements Action {}
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -34,6 +34,8 @@
   public long trialWait;
   /** When it last answered us. */
   public long heardAt;
+  /** When the latest of its overdue parts was sent. */
+  public long silentAt;
   public long toldAt = Long.MIN_VALUE / 2;
   public long strainedAt = Long.MIN_VALUE / 2;
 
--- a/src/main/java/tidebank/node/ShardPort.java
+++ b/src/main/java/tidebank/node/ShardPort.java
@@ -15,8 +15,8 @@
   /** All sends of this turn are in: those to one server share calls. */
   void flush();
 
-  /** Closes connections on which nothing is out. */
-  void closeIdle(String server);
+  /** Takes the connections that are up out of use; each closes once nothing is out on it. */
+  void retire(String server);
 
   void probe(String server);
 
--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -211,7 +211,7 @@
     } else if (action instanceof Action.Follow follow) {
       discovery.follow(follow.on());
     } else if (action instanceof Action.Close close) {
-      shards.closeIdle(close.server());
+      shards.retire(close.server());
     } else if (action instanceof Action.Probe probe) {
       shards.probe(probe.server());
     } else if (action instanceof Action.Note note) {
--- a/src/main/java/tidebank/shard/Connection.java
+++ b/src/main/java/tidebank/shard/Connection.java
@@ -44,6 +44,7 @@
   private Call writing;
   private boolean up;
   private boolean closed;
+  private boolean retired;
   private long lastUsed;
 
   Connection(Server server) {
@@ -69,7 +70,7 @@
 
   /** Whether a call can be given to it: it is not closing, has a free place, and was used of late. */
   boolean hasRoom() {
-    return !closed && calls.size() < side.transport.maxStreams()
+    return !closed && !retired && calls.size() < side.transport.maxStreams()
         && (!up || !calls.isEmpty() || side.clock.now() < unusableFrom());
   }
 
@@ -77,6 +78,14 @@
     return up && calls.isEmpty() && probes.isEmpty();
   }
 
+  /** It gets no more calls. One that is still coming up is as new as could be wanted. */
+  void retire() {
+    retired = up;
+    if (isIdle()) {
+      close();
+    }
+  }
+
   /** What is written from the keep-alive on is lost, so the last use is as long before as a connection may take. */
   private long unusableFrom() {
     return lastUsed + Math.max(0, side.transport.keepaliveUs() - side.transport.connectTimeoutUs());
@@ -166,7 +175,9 @@
     if (flight.call.flights.isEmpty()) {
       calls.remove(flight.call);
       waiting.remove(flight.call);
-      if (isIdle() && !closed) {
+      if (isIdle() && retired) {
+        close();
+      } else if (isIdle() && !closed) {
         side.alarms.set(idle, unusableFrom());
       }
     }
--- a/src/main/java/tidebank/shard/ShardSide.java
+++ b/src/main/java/tidebank/shard/ShardSide.java
@@ -83,7 +83,7 @@
         server.gone = false;
         if (!member.address().equals(server.address)) {
           server.address = member.address();
-          closeIdle(id);
+          retire(id);
         }
       } else {
         leaves(server, now, member.line().status() == ServerStatus.GONE);
@@ -126,13 +126,11 @@
   }
 
   @Override
-  public void closeIdle(String id) {
+  public void retire(String id) {
     Server server = servers.get(id);
     if (server != null) {
       for (Connection connection : List.copyOf(server.connections)) {
-        if (connection.isIdle()) {
-          connection.close();
-        }
+        connection.retire();
       }
     }
   }
--- a/src/test/java/tidebank/BrainTest.java
+++ b/src/test/java/tidebank/BrainTest.java
@@ -405,6 +405,25 @@
     }
   }
 
+  @Test
+  void whereNothingWasHeardSinceAnOverduePartWasSentTheNextGoesOnANewConnection() {
+    host.layout = new Settings.Layout(1, 1, 1, 1, 0);
+    host.start();
+    host.scan("a", "once", 1);
+    host.end(Outcome.COMPLETED, "a0");
+    host.scan("b", "once", 1);
+    assertThat(host.pass(600)).doesNotContain(new Action.Close("s0"));
+    assertThat(host.scan("c", "once", 1)).contains(new Action.Close("s0"));
+    assertThat(host.scan("d", "once", 1)).doesNotContain(new Action.Close("s0"));
+    // Late, but heard: the server is slow.
+    host.end(Outcome.COMPLETED, "c0");
+    host.scan("e", "once", 1);
+    host.pass(400);
+    host.end(Outcome.COMPLETED, "d0");
+    host.pass(200);
+    assertThat(host.scan("f", "once", 1)).doesNotContain(new Action.Close("s0"));
+  }
+
   @Test
   void aServerThatCouldNotBeReachedForLongIsHeldToBeColdOnceItAnswers() {
     host.layout = new Settings.Layout(1, 1, 1, 1, 0);
--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -736,6 +736,27 @@
     }
   }
 
+  @Test
+  void aConnectionThatFellSilentIsLeftForANewOne() throws Exception {
+    silence();
+    FakeShardServer one = only();
+    site.start();
+    try (FakeClient client = site.client(); FakeClient other = site.client()) {
+      client.send(scan("whole", "a", 2000, 1));
+      Frame unheard = one.next();
+      // Only what comes on another connection is answered from now on.
+      Frame frame = one.next();
+      for (int i = 0; frame.socket() == unheard.socket() || frame.letter() != 'm'; i++) {
+        other.send(scan("once", "b" + i, 400, 1));
+        assertThat(other.read().status()).isEqualTo(500);
+        frame = one.next();
+      }
+      one.answers = true;
+      frame.answer("good", "heard");
+      assertThat(other.ask(scan("once", "c", 2000, 1)).body()).contains("value of c.0");
+    }
+  }
+
   // ---- discovery
 
   @Test
--- a/src/test/java/tidebank/TurnTest.java
+++ b/src/test/java/tidebank/TurnTest.java
@@ -111,7 +111,7 @@
       public void flush() {}
 
       @Override
-      public void closeIdle(String server) {}
+      public void retire(String server) {}
 
       @Override
       public void probe(String server) {}
