--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -258,7 +258,7 @@
         halve(shard);
       }
       case ERROR -> doubt(srv, DOUBT_BAD);
-      // A lone connection ends for many a reason: all that was out on it is one fault, and no sign of a restart.
+      // A lone connection ends for many a reason: all that was out on it is one fault, no sign of a restart.
       case SPOILT, BROKEN, UNREACHABLE -> {
         learnSilence(dispatch);
         doubt(srv, srv.firstFault(now) && !reaped(dispatch) ? DOUBT_BAD : 0);
@@ -578,10 +578,10 @@
     dispatch.dueAt = now + patience(scan);
     dispatch.idle = srv.heardAt > 0 && now - srv.heardAt >= shortestTarget * HALF;
     // Nothing heard since an overdue part was sent: its connection may have fallen silent, not its server.
-    dispatch.anew = srv.silentAt > srv.heardAt
+    dispatch.anew = srv.silentAt >= srv.heardAt
         || reaped(dispatch) && (scan.type.repeat() != Repeat.REPLAYABLE || chance.next() >= LEARN);
     dispatch.idle &= !dispatch.anew;
-    srv.silentAt = 0;
+    srv.silentAt = -1;
     part.dispatches.add(dispatch);
     // Where it could not be called back, a dispatch has to end by itself before the next may go.
     boolean one = !settings.limits().secondCopies() && !settings.limits().cancel() && furtherEver(part);
--- a/src/main/java/tidebank/model/ShardServer.java
+++ b/src/main/java/tidebank/model/ShardServer.java
@@ -35,7 +35,7 @@
   /** When it last answered us. */
   public long heardAt;
   /** When the latest of its overdue parts was sent. */
-  public long silentAt;
+  public long silentAt = -1;
   public long toldAt = Long.MIN_VALUE / 2;
   public long strainedAt = Long.MIN_VALUE / 2;
 
