--- a/src/main/java/tidebank/config/NodeConfig.java
+++ b/src/main/java/tidebank/config/NodeConfig.java
@@ -27,6 +27,8 @@
     Settings settings) {
   private static final int SOCKETS_DEFAULT = 1024;
   private static final int SOCKETS_LEAST = 128;
+  /** What the heap that {@code run} fixes and the machine's own parts take at rest. */
+  private static final int MEMORY_LEAST_MB = 80;
   private static final long SECOND_US = 1_000_000;
   private static final int KIB = 1024;
   /** PROTOCOL: a body holds no more than this. */
@@ -133,7 +135,7 @@
         address("NODE_LISTEN or listen", text(env, "NODE_LISTEN", file, "listen")),
         address("NODE_DISCOVERY or discovery", text(env, "NODE_DISCOVERY", file, "discovery")),
         seed(file.path("seed")),
-        Budgets.of(sockets(file.path("limits").path("sockets"))),
+        budgets(file.path("limits")),
         transport,
         known.isObject() ? known : null,
         settings);
@@ -201,14 +203,18 @@
     }
   }
 
-  private static int sockets(JsonNode value) throws Malformed {
-    if (value.isMissingNode()) {
-      return SOCKETS_DEFAULT;
-    }
-    if (!value.canConvertToInt() || value.intValue() < SOCKETS_LEAST) {
-      throw wrong("limits.sockets", value.toString(), "a whole number from " + SOCKETS_LEAST);
+  private static Budgets budgets(JsonNode limits) throws Malformed {
+    limit(limits, "memory_mb", MEMORY_LEAST_MB, MEMORY_LEAST_MB);
+    return Budgets.of(limit(limits, "sockets", SOCKETS_LEAST, SOCKETS_DEFAULT));
+  }
+
+  /** A limit of the day; one too small to run in is a fault. */
+  private static int limit(JsonNode limits, String key, int least, int absent) throws Malformed {
+    JsonNode value = limits.path(key);
+    if (!value.isMissingNode() && (!value.canConvertToInt() || value.intValue() < least)) {
+      throw wrong("limits." + key, value.toString(), "a whole number from " + least);
     }
-    return value.intValue();
+    return value.asInt(absent);
   }
 
   private static Malformed wrong(String key, String found, String wanted) {
--- a/src/test/java/tidebank/NodeConfigTest.java
+++ b/src/test/java/tidebank/NodeConfigTest.java
@@ -51,6 +51,7 @@
         {"'listen':'127.0.0.1:0'", "'listen':'here:80'", "NODE_LISTEN or listen: found here:80, wanted an address.*"},
         {"'listen':'127.0.0.1:0'", "'listen':'1.2.3.4'", "NODE_LISTEN or listen: found 1.2.3.4, wanted an address.*"},
         {"'seed':'8c1f", "'seed':'xyz", "seed: found \"xyz.*, wanted 16 hex digits"},
+        {"'sockets':1024", "'memory_mb':16", "limits.memory_mb: found 16, wanted a whole number from 80"},
         {"'sockets':1024", "'sockets':-3", "limits.sockets: found -3, wanted a whole number from 128"},
         {"'settings':{", "'settings':7,'x':{", "settings: found 7, wanted an object"},
         {"'services':[", "'services':[],'x':[", "settings.services: found none, wanted a list of table types"},
