--- a/src/main/java/tidebank/config/NodeConfig.java
+++ b/src/main/java/tidebank/config/NodeConfig.java
@@ -36,13 +36,16 @@
 
   /**
    * How the descriptors are shared out. Past {@code clients} a further connection is answered with a plain
-   * refusal and closed; past {@code clientsMost} none is accepted until one has gone. The rest bounds what one
+   * refusal and closed; past {@code clientsMost} none is accepted until one has gone. Past {@code resting} connections
+   * without a request the one that has been so for longest is closed: clients hold a third of the descriptors at most,
+   * and some never ask again. The rest bounds what one
    * connection may hold: requests not yet answered, the buffers it is read into (a body keeps them, so they are
    * small) and, from {@code writeHigh} down to {@code writeLow}, bytes not yet written.
    */
   public record Budgets(
       int clients,
       int clientsMost,
+      int resting,
       int servers,
       int serverMost,
       int pipelineMost,
@@ -52,12 +55,12 @@
       int writeLow,
       int writeHigh) {
     /**
-     * Three eighths for clients, as they hold a third at most for requests, an eighth for refusals, a quarter for
-     * shard servers; the rest stays free.
+     * Half for clients, who hold a third at most for requests, so that silent ones find room beside them, an eighth for
+     * refusals, a quarter for shard servers; the rest stays free.
      */
     static Budgets of(int sockets) {
       int eighth = sockets / 8;
-      return new Budgets(3 * eighth, 4 * eighth, 2 * eighth, Math.max(1, eighth / 8),
+      return new Budgets(4 * eighth, 5 * eighth, 3 * eighth / 2, 2 * eighth, Math.max(1, eighth / 8),
           16, 64, 2 * KIB, 16 * KIB, 32 * KIB, 128 * KIB);
     }
   }
@@ -74,8 +77,7 @@
       long listTimeoutUs,
       long stopWithinUs,
       long takeOnUs,
-      long requestWithinUs,
-      long restLeastUs) {
+      long requestWithinUs) {
     static Transport of(JsonNode settings, Settings read) throws Malformed {
       JsonNode limits = settings.path("limits");
       // SIGKILL comes no sooner than the longest deadline, at most 3 s, and 0.7 s after SIGTERM; 0.2 s stay free.
@@ -94,9 +96,7 @@
           // What comes within 0.7 s is a straggler; beyond, a scan is taken while a target time is left for it.
           Math.max(7 * SECOND_US / 10, stopWithin - read.shortestTargetUs().orElse(stopWithin)),
           // A client is owed an error or an end within 3 s of connecting; half a second stays free.
-          5 * SECOND_US / 2,
-          // A connection without a request may be closed after 2 s.
-          2 * SECOND_US);
+          5 * SECOND_US / 2);
     }
   }
 
--- a/src/main/java/tidebank/front/ClientConnection.java
+++ b/src/main/java/tidebank/front/ClientConnection.java
@@ -33,8 +33,8 @@
   /** A first or next request that does not come whole, or an answer that is not read: it ends the connection. */
   private final Alarms.Alarm slow = Alarms.alarm(this::slow);
   private Channel channel;
+  private long connectedAt;
   private long headAt;
-  private long restsFrom = Long.MAX_VALUE;
   private boolean asked;
   private boolean ending;
   /** The client still sends what is not wanted: ending at once would reset the response under way to it. */
@@ -53,9 +53,8 @@
     return exchanges.isEmpty() && headAt == 0;
   }
 
-  /** Whether it has asked for nothing so far, or has rested for as long as clients may count on. */
-  boolean mayGiveWay() {
-    return !asked || side.clock.now() - restsFrom >= side.transport.restLeastUs();
+  long connectedAt() {
+    return connectedAt;
   }
 
   void close() {
@@ -66,6 +65,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
+    connectedAt = side.clock.now();
   }
 
   @Override
@@ -132,16 +132,15 @@
   private void answer(Exchange exchange, FullHttpRequest request, long at) {
     // A transfer coding that is left here is none that Netty has read.
     if (request.decoderResult().isFailure() || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-      ending = true;
       side.counters.add("front.malformed");
-      exchange.respond(HttpResponseStatus.BAD_REQUEST, "no valid HTTP");
+      reject(exchange, HttpResponseStatus.BAD_REQUEST, "no valid HTTP");
       return;
     }
     String path = request.uri().split("[?]", 2)[0];
     if (path.startsWith("/health/")) {
       health(exchange, path);
     } else if (!request.method().equals(HttpMethod.POST)) {
-      exchange.respond(HttpResponseStatus.METHOD_NOT_ALLOWED, "scans come by POST");
+      reject(exchange, HttpResponseStatus.METHOD_NOT_ALLOWED, "scans come by POST");
     } else {
       scan(exchange, request, path, at);
     }
@@ -153,14 +152,18 @@
     refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
   }
 
+  /** What is no request of this protocol ends its connection: whoever goes on like that holds no place here. */
+  private void reject(Exchange exchange, HttpResponseStatus status, String text) {
+    ending = true;
+    exchange.respond(status, text);
+  }
+
   /** Answers a request whose body is not kept: what still comes of it is read and dropped. */
   private void refuse(HttpResponseStatus status, String text) {
     Exchange exchange = new Exchange(this);
     exchanges.add(exchange);
     ending = true;
     lingering = true;
-    asked = true;
-    side.asked(this);
     exchange.respond(status, text);
   }
 
@@ -180,12 +183,12 @@
       scan = side.reader.read(request, path.substring(1).split("/", 2)[0], at);
     } catch (Rejected fault) {
       side.counters.add("front.rejected");
-      exchange.respond(HttpResponseStatus.valueOf(fault.status), fault.getMessage());
+      reject(exchange, HttpResponseStatus.valueOf(fault.status), fault.getMessage());
       return;
     }
     if (side.turn.holds(scan)) {
       side.counters.add("front.rejected");
-      exchange.respond(HttpResponseStatus.BAD_REQUEST, "X-Correlation-Id is in use");
+      reject(exchange, HttpResponseStatus.BAD_REQUEST, "X-Correlation-Id is in use");
     } else if (side.turn.scanTaken(scan, exchange)) {
       side.counters.add("scans.taken");
       exchange.scan = scan.id();
@@ -215,7 +218,6 @@
       channel.flush();
       readOn();
       if (isIdle()) {
-        restsFrom = side.clock.now();
         side.rests(this);
       }
     }
--- a/src/main/java/tidebank/front/ClientSide.java
+++ b/src/main/java/tidebank/front/ClientSide.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -96,16 +95,19 @@
     };
   }
 
-  /** Closes the oldest connection that never asked, else the one that rests longest, if that is long enough. */
+  /**
+   * Closes the oldest connection that never asked, if its first request would be here by now, else the one that rests
+   * longest, as it is the likeliest not to ask again.
+   */
   private boolean makeRoom() {
-    Iterator<ClientConnection> oldest = (unasked.isEmpty() ? resting : unasked).iterator();
-    ClientConnection connection = oldest.hasNext() ? oldest.next() : null;
-    if (connection == null || !connection.mayGiveWay()) {
-      return false;
+    ClientConnection silent = unasked.isEmpty() ? null : unasked.iterator().next();
+    boolean late = silent != null && clock.now() - silent.connectedAt() >= transport.connectTimeoutUs();
+    ClientConnection last = late || resting.isEmpty() ? silent : resting.iterator().next();
+    if (last != null) {
+      counters.add("front.closed-for-room");
+      last.close();
     }
-    counters.add("front.closed-for-room");
-    connection.close();
-    return true;
+    return last != null;
   }
 
   void asked(ClientConnection connection) {
@@ -113,8 +115,13 @@
     resting.remove(connection);
   }
 
+  /** It is between two requests. If many are, the longest so gives back its share of what clients may hold. */
   void rests(ClientConnection connection) {
     resting.add(connection);
+    if (resting.size() > config.budgets().resting()) {
+      counters.add("front.closed-rested");
+      resting.iterator().next().close();
+    }
   }
 
   void left(ClientConnection connection) {
