--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -399,7 +399,7 @@
       double fall = rank < top ? 0 : (rank - top + 1.0) / (most - top);
       double threshold = cap * (1 - fall * (1 - IDLE));
       double load = holders.stream().mapToInt(srv -> srv.out.size()).sum();
-      if (part.stage == Stage.HELD && (rank < top ? load > cap : overload() || load >= threshold)) {
+      if (part.stage == Stage.HELD && (rank < top ? load > cap : load >= threshold)) {
         part.stage = Stage.UNSENT;
       } else if (part.stage == Stage.HELD) {
         first(part);
--- a/src/test/java/tidebank/BrainTest.java
+++ b/src/test/java/tidebank/BrainTest.java
@@ -347,6 +347,16 @@
     assertThat(asked).startsWith(4, 1).endsWith(0);
   }
 
+  @Test
+  void whileSomeServersAreStrainedLightPartsStillGoToShardsThatCarryLittle() {
+    host.start();
+    host.scan("a", "whole", 0.25, 0.25, 0.25, 0.25);
+    host.end(Outcome.FULL, "a0", "a1");
+    host.end(Outcome.COMPLETED, "a2", "a3");
+    host.pass(20);
+    assertThat(sent(host.scan("q", "part", 0.52, 0.2, 0.18, 0.1))).hasSizeGreaterThan(1);
+  }
+
   @Test
   void aServerThatAnswersAtOnceWithErrorsDrawsNoMoreFirstDispatches() {
     host.start();
