--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -406,13 +406,12 @@
   void aRequestOfTwoLengthsIsRefusedAndNothingBehindItIsRead() throws Exception {
     site.start();
     String hidden = scan("whole", "hidden", 2000, 1);
-    String two = "\r\nX-Two: ";
     String[] heads = {"Transfer-Encoding: chunked", "Transfer-Encoding: gzip", "transfer-encoding:chunked, identity",
         "Content-Length: 7", "Content-Length: -1", "Content-Length: 1e3"};
     for (String head : heads) {
       try (FakeClient client = site.client()) {
         String odd = post("/whole", "a", "2000m", "0\r\n\r\n" + hidden).replace("\r\nX-Account: a", "\r\n" + head);
-        assertThat(client.ask(odd).status()).as(head + two).isEqualTo(400);
+        assertThat(client.ask(odd).status()).as(head).isEqualTo(400);
         assertThat(client.ended()).isTrue();
       }
     }
