--- a/src/main/java/tidebank/Brain.java
+++ b/src/main/java/tidebank/Brain.java
@@ -172,11 +172,11 @@
     long left = event.limitAt() - now;
     TableType type = settings.tableTypes().getOrDefault(event.type(),
         new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 0, 1, 1, 0));
-    Scan scan = new Scan(event.id(), event.number(), type, Math.min(event.limitAt(), endAt));
-    scan.targetAt = Math.min(firstAsked(event, type) + type.targetUs(), scan.limitAt);
+    Scan scan = new Scan(event.id(), event.number(), type, event.limitAt());
+    scan.targetAt = firstAsked(event, type) + type.targetUs();
     scans.put(scan.id, scan);
     byNumber.put(scan.number, scan);
-    agenda.changed(scan);
+    agenda.changed(scan.endBy(endAt));
     taken.add(now, settings.rules().ratioSpanUs());
   }
 
--- a/src/main/java/tidebank/config/NodeConfig.java
+++ b/src/main/java/tidebank/config/NodeConfig.java
@@ -109,7 +109,9 @@
   public static NodeConfig reread(Map<String, String> env) throws Malformed {
     JsonNode file = file(env);
     Map<String, String> rest = new HashMap<>(env);
-    rest.remove(file.path("discovery").asText("").isEmpty() ? "" : "NODE_DISCOVERY");
+    if (!file.path("discovery").asText("").isEmpty()) {
+      rest.remove("NODE_DISCOVERY");
+    }
     return read(rest, file);
   }
 
--- a/src/main/java/tidebank/front/ClientConnection.java
+++ b/src/main/java/tidebank/front/ClientConnection.java
@@ -100,8 +100,10 @@
       } else if (!ending && message instanceof FullHttpRequest request) {
         begun();
         side.alarms.clear(slow);
-        asked = true;
-        side.asked(this);
+        if (!asked) {
+          asked = true;
+          side.asked(this);
+        }
         long at = headAt;
         headAt = 0;
         took(request, at);
--- a/src/main/java/tidebank/model/Scan.java
+++ b/src/main/java/tidebank/model/Scan.java
@@ -33,7 +33,7 @@
   public int left = Integer.MAX_VALUE / 2;
   public Verdict verdict = Verdict.OPEN;
 
-  /** It has no more time than until then. */
+  /** It has no more time than until then, and its target time none beyond that. */
   public Scan endBy(long at) {
     limitAt = Math.min(limitAt, at);
     targetAt = Math.min(targetAt, limitAt);
--- a/src/main/java/tidebank/node/Turn.java
+++ b/src/main/java/tidebank/node/Turn.java
@@ -124,8 +124,10 @@
       if (full) {
         list.clear();
       }
-      members.forEach(member -> list.put(member.line().server(), member));
-      list.values().removeIf(member -> member.line().status() == ServerStatus.GONE);
+      for (Member member : members) {
+        boolean gone = member.line().status() == ServerStatus.GONE;
+        list.compute(member.line().server(), (id, before) -> gone ? null : member);
+      }
       shards.listed(members, full);
     }
     counters.add("list." + kind.name().toLowerCase(Locale.ROOT));
--- a/src/main/java/tidebank/shard/Connection.java
+++ b/src/main/java/tidebank/shard/Connection.java
@@ -261,7 +261,7 @@
     if (!reader.begun()) {
       side.alarms.clear(neverWhole);
       release();
-    } else if (calls.isEmpty() && probes.isEmpty() && givenUp.isEmpty()) {
+    } else if (isIdle() && givenUp.isEmpty()) {
       spoilt("more than was asked for");
     } else {
       side.alarms.set(neverWhole, side.clock.now() + side.transport.connectTimeoutUs());
--- a/src/test/java/tidebank/FakeHost.java
+++ b/src/test/java/tidebank/FakeHost.java
@@ -397,7 +397,10 @@
     }
 
     static byte[] frame(char letter, String rest) {
-      byte[] bytes = rest.getBytes(StandardCharsets.UTF_8);
+      return frame(letter, rest.getBytes(StandardCharsets.UTF_8));
+    }
+
+    static byte[] frame(char letter, byte[] bytes) {
       return ByteBuffer.allocate(5 + bytes.length).putInt(1 + bytes.length).put((byte) letter).put(bytes).array();
     }
   }
--- a/src/test/java/tidebank/GathererTest.java
+++ b/src/test/java/tidebank/GathererTest.java
@@ -575,8 +575,7 @@
         one.next();
         byte[] text = (i < odd.length ? odd[i].formatted(frame.part()) : frame.part() + " good 1 -\nvalue")
             .getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
-        byte[] whole = java.util.Arrays.copyOf(frame('q', " ".repeat(text.length)), 5 + text.length);
-        System.arraycopy(text, 0, whole, 5, text.length);
+        byte[] whole = frame('q', text);
         // The last three: a length that is too short, one that is too long, one of 3 GB.
         whole[3] += i == odd.length ? -3 : i == odd.length + 1 ? 9 : 0;
         whole[0] = i == odd.length + 2 ? (byte) 0xb0 : 0;
@@ -592,13 +591,14 @@
     silence();
     FakeShardServer one = only();
     site.start();
-    byte[][] more = {frame('q', "%s good 1 -\nvalue"), {1, 2}, {0, 0, 0, 0}, frame('x', "y"), "\r\n\r\n".getBytes()};
+    // The first stands for a second copy of the answer.
+    byte[][] more = {null, {1, 2}, {0, 0, 0, 0}, frame('x', "y"), "\r\n\r\n".getBytes()};
     try (FakeClient client = site.client()) {
       for (int i = 0; i < more.length; i++) {
         client.send(scan("once", "a" + i, 2000, 1));
         Frame frame = one.next();
         byte[] good = frame('q', frame.part() + " good 1 util=NaN,load=-1,rate=1e999\nvalue");
-        byte[] tail = i == 0 ? good : more[i];
+        byte[] tail = more[i] == null ? good : more[i];
         byte[] both = java.util.Arrays.copyOf(good, good.length + tail.length);
         System.arraycopy(tail, 0, both, good.length, tail.length);
         frame.raw(both);
