Reactor of gatherer, lab and cli; logger behind SLF4J; operator's TOML file, checked whole

Need: the tool box (traces, replay, reports) must not grow what serves, so each set of dependencies gets a module of its own.

--- /dev/null
+++ b/cli/src/main/java/tidebank/cli/Tidebank.java
@@ -0,0 +1,5 @@
+package tidebank.cli;
+
+public final class Tidebank {
+  public static void main(String[] args) {}
+}
--- a/src/main/java/tidebank/Main.java
+++ b/gatherer/src/main/java/tidebank/Main.java
@@ -1,32 +1,45 @@
 package tidebank;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.Semaphore;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
+import tidebank.base.LeanLogging;
 import tidebank.base.Log;
 import tidebank.config.Malformed;
 import tidebank.config.NodeConfig;
+import tidebank.config.OperatorFile;
 import tidebank.node.Gatherer;
 import tidebank.sim.WireHost;
 
 /** The command line: picks the front that drives the decisions. */
 public final class Main {
+  private static final Logger LOG;
+
+  static {
+    LeanLogging.choose();
+    LOG = LoggerFactory.getLogger(Main.class);
+  }
+
   private Main() {}
 
   public static void main(String[] args) {
-    String command = args.length == 1 ? args[0] : "";
+    boolean filed = args.length == 3 && args[0].equals("serve") && args[1].equals("--config");
+    String command = args.length == 1 || filed ? args[0] : "";
     try {
       switch (command) {
-        case "serve" -> serve();
+        case "serve" -> serve(filed ? OperatorFile.read(Path.of(args[2])) : OperatorFile.DEFAULT);
         case "wirehost" -> new WireHost().run(System.in, System.out);
         default -> {
-          System.err.println("usage: java -jar tidebank.jar serve | wirehost");
+          System.err.println("usage: java -jar tidebank.jar serve [--config FILE] | wirehost");
           System.exit(2);
         }
       }
     } catch (IOException fault) {
-      System.err.println("tidebank: " + fault.getMessage());
+      System.err.println("tidebank: " + fault.getMessage().replace("\n", "\ntidebank: "));
       System.exit(fault instanceof Malformed && command.equals("serve") ? 2 : 1);
     }
   }
@@ -35,15 +48,16 @@
    * Serves until SIGTERM, whose hook waits for the last answer and then ends with 0. Each SIGHUP has the
    * configuration read again, here and not on the event loop; signals that come meanwhile count as one.
    */
-  private static void serve() throws IOException {
+  private static void serve(OperatorFile own) throws IOException {
+    Log.style(own.log());
     Semaphore reloads = new Semaphore(0);
     Signal.handle(new Signal("HUP"), signal -> reloads.release());
-    Gatherer gatherer = Gatherer.start(NodeConfig.read(System.getenv()));
+    Gatherer gatherer = Gatherer.start(NodeConfig.read(System.getenv()), own);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> {
       gatherer.stop().join();
       Runtime.getRuntime().halt(0);
     }));
-    Log.info("serving");
+    LOG.info("serving");
     while (true) {
       reloads.acquireUninterruptibly();
       reloads.drainPermits();
--- a/src/main/java/tidebank/base/Counters.java
+++ b/gatherer/src/main/java/tidebank/base/Counters.java
@@ -3,9 +3,12 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Named counts of one gatherer, of what is odd as well as of what is usual. They belong to its event loop. */
 public final class Counters {
+  private static final Logger LOG = LoggerFactory.getLogger(Counters.class);
   private final Map<String, long[]> counts = new TreeMap<>();
 
   /** Counts one; returns how many there are now. */
@@ -21,7 +24,7 @@
   /** Counts a fault of a kind; only the first of its kind is worth a line. */
   public void fault(String kind, String text) {
     if (add(kind) == 1) {
-      Log.warn(kind + ": " + text + " (later ones are only counted)");
+      LOG.warn(kind + ": " + text + " (later ones are only counted)");
     }
   }
 
--- /dev/null
+++ b/gatherer/src/main/java/tidebank/config/OperatorFile.java
@@ -0,0 +1,39 @@
+package tidebank.config;
+
+import java.nio.file.Path;
+import java.util.Locale;
+import org.slf4j.event.Level;
+import tidebank.base.Log;
+
+/**
+ * The operator's own file (deploy/gatherer.toml): what a gatherer does beyond its platform's configuration. All of it is
+ * off or at its default where the file or a key is absent.
+ *
+ * @param log how the process logs
+ * @param countersEveryUs how often the counters are logged, in microseconds
+ */
+public record OperatorFile(Log.Style log, long countersEveryUs) {
+  public static final OperatorFile DEFAULT = new OperatorFile(Log.Style.DEFAULT, 60_000_000);
+
+  private enum LogLevel {
+    ERROR,
+    WARN,
+    INFO,
+    DEBUG
+  }
+
+  public static OperatorFile read(Path file) throws Malformed {
+    return read(Toml.read(file));
+  }
+
+  static OperatorFile read(Toml file) throws Malformed {
+    Toml.Table log = file.root().table("log");
+    LogLevel level = log.choice("level", LogLevel.INFO, LogLevel.class);
+    Log.Style style = new Log.Style(Level.valueOf(level.name().toUpperCase(Locale.ROOT)),
+        log.choice("form", Log.Form.TEXT, Log.Form.class),
+        (int) log.whole("lines_a_second", DEFAULT.log().linesASecond(), 1, 10_000));
+    long every = file.root().table("report").whole("counters_every_s", 60, 1, 86_400);
+    file.check();
+    return new OperatorFile(style, every * 1_000_000);
+  }
+}
--- a/src/main/java/tidebank/discovery/DiscoverySide.java
+++ b/gatherer/src/main/java/tidebank/discovery/DiscoverySide.java
@@ -22,8 +22,9 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import tidebank.base.Counters;
-import tidebank.base.Log;
 import tidebank.config.NodeConfig;
 import tidebank.discovery.ListReader.Members;
 import tidebank.model.Event.ListKind;
@@ -39,6 +40,7 @@
  * connect time-out after each failure.
  */
 public final class DiscoverySide implements ListPort {
+  private static final Logger LOG = LoggerFactory.getLogger(DiscoverySide.class);
   private static final String PATH = "/registry/instances";
 
   private final ObjectMapper mapper = new ObjectMapper();
@@ -91,7 +93,7 @@
     if (to.equals(address)) {
       return;
     }
-    Log.info("discovery is at " + to + " now");
+    LOG.info("discovery is at " + to + " now");
     address = to;
     close();
     turn.listSeen(ListKind.MOVED, List.of());
@@ -126,7 +128,7 @@
   private void lost(String why) {
     if (following) {
       counters.add("list.calls-failed");
-      Log.info("the watch on discovery is lost: " + why);
+      LOG.info("the watch on discovery is lost: " + why);
       close();
       if (unasked) {
         alarms.set(again, clock.now() + transport.connectTimeoutUs());
--- a/src/main/java/tidebank/front/ClientConnection.java
+++ b/gatherer/src/main/java/tidebank/front/ClientConnection.java
@@ -17,13 +17,15 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
-import tidebank.base.Log;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import tidebank.front.ScanReader.Rejected;
 import tidebank.node.Alarms;
 import tidebank.node.ScanRequest;
 
 /** One client's connection. Requests that come before earlier ones are answered are answered in their order. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
+  private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
   private static final ChannelFutureListener END_OUTPUT =
       done -> ((DuplexChannel) done.channel()).shutdownOutput();
 
@@ -121,7 +123,7 @@
       answer(exchange, request, at);
     } catch (RuntimeException | VirtualMachineError fault) {
       side.counters.add("front.failed");
-      Log.error("a request failed", fault);
+      LOG.error("a request failed", fault);
       if (exchange.response == null) {
         exchange.respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed");
       }
--- a/src/main/java/tidebank/front/Exchange.java
+++ b/gatherer/src/main/java/tidebank/front/Exchange.java
@@ -15,11 +15,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
-import tidebank.base.Log;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import tidebank.node.Reply;
 
 /** One request on a client's connection and, once it is there, its response. */
 final class Exchange implements Reply {
+  private static final Logger LOG = LoggerFactory.getLogger(Exchange.class);
   private static final JsonFactory JSON = new JsonFactory();
 
   private final ClientConnection connection;
@@ -37,7 +39,7 @@
     try {
       body = body(whole, values);
     } catch (IOException | RuntimeException | VirtualMachineError fault) {
-      Log.error("an answer could not be written", fault);
+      LOG.error("an answer could not be written", fault);
       respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "the answer could not be written");
       return;
     }
--- a/src/main/java/tidebank/node/Alarms.java
+++ b/gatherer/src/main/java/tidebank/node/Alarms.java
@@ -5,11 +5,13 @@
 import java.util.Comparator;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import tidebank.base.Counters;
-import tidebank.base.Log;
 
 /** All that waits for a time, behind one wake-up of the event loop for the earliest. */
 public final class Alarms {
+  private static final Logger LOG = LoggerFactory.getLogger(Alarms.class);
   /** Something that is due at a time. It is set at most once at a time. */
   public abstract static class Alarm {
     private long at;
@@ -88,7 +90,7 @@
         due.ring();
       } catch (RuntimeException | VirtualMachineError fault) {
         counters.add("alarms.failed");
-        Log.error("an alarm failed", fault);
+        LOG.error("an alarm failed", fault);
       }
     }
     arm();
--- a/src/main/java/tidebank/node/Gatherer.java
+++ b/gatherer/src/main/java/tidebank/node/Gatherer.java
@@ -19,11 +19,12 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import tidebank.base.Counters;
-import tidebank.base.Log;
-import tidebank.base.NettyLog;
 import tidebank.config.Malformed;
 import tidebank.config.NodeConfig;
+import tidebank.config.OperatorFile;
 import tidebank.discovery.DiscoverySide;
 import tidebank.discovery.ListReader;
 import tidebank.front.ClientSide;
@@ -32,12 +33,13 @@
 
 /** A gatherer on sockets, to be embedded: {@link #start} it, ask whether it is ready, {@link #stop} it. */
 public final class Gatherer {
+  private static final Logger LOG = LoggerFactory.getLogger(Gatherer.class);
   private static final int PAGE = 8192;
   /** Chunks of 512 KiB: one arena of few chunks serves a gatherer. */
   private static final int CHUNK_ORDER = 6;
-  private static final long REPORT_US = 60_000_000;
 
   private final NodeConfig config;
+  private final long reportUs;
   private final Clock clock = new Clock();
   private final Counters counters = new Counters();
   private final EventLoopGroup group;
@@ -54,9 +56,9 @@
   private boolean stopping;
   private boolean closed;
 
-  private Gatherer(NodeConfig config) {
+  private Gatherer(NodeConfig config, OperatorFile own) {
     this.config = config;
-    NettyLog.install();
+    reportUs = own.countersEveryUs();
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = group.next();
     alarms = new Alarms(loop, clock, counters);
@@ -75,7 +77,11 @@
 
   /** Starts one; when this returns it listens. */
   public static Gatherer start(NodeConfig config) throws IOException {
-    Gatherer gatherer = new Gatherer(config);
+    return start(config, OperatorFile.DEFAULT);
+  }
+
+  public static Gatherer start(NodeConfig config, OperatorFile own) throws IOException {
+    Gatherer gatherer = new Gatherer(config, own);
     try {
       gatherer.begin();
     } catch (IOException | RuntimeException fault) {
@@ -104,8 +110,8 @@
       throw new IOException("cannot listen on " + config.listen() + ": " + binding.cause().getMessage());
     }
     address = (InetSocketAddress) binding.channel().localAddress();
-    loop.execute(() -> alarms.set(report, clock.now() + REPORT_US));
-    Log.info("gatherer " + config.name() + " listens on " + address + ", knows " + known.members().size()
+    loop.execute(() -> alarms.set(report, clock.now() + reportUs));
+    LOG.info("gatherer " + config.name() + " listens on " + address + ", knows " + known.members().size()
         + " shard servers");
   }
 
@@ -142,7 +148,7 @@
     loop.execute(() -> {
       if (!stopping) {
         stopping = true;
-        Log.info("stopping");
+        LOG.info("stopping");
         clients.drain();
         long now = clock.now();
         turn.ending(now + config.transport().stopWithinUs());
@@ -168,7 +174,7 @@
   /** A configuration that was to be taken over has a fault: the old one stands. */
   public void reloadFailed(Malformed fault) {
     loop.execute(() -> counters.add("config.faulty"));
-    Log.warn("the configuration stays as it was: " + fault.getMessage());
+    LOG.warn("the configuration stays as it was: " + fault.getMessage());
   }
 
   private void noMoreRequests() {
@@ -185,12 +191,12 @@
     closed = true;
     shards.close();
     discovery.close();
-    Log.info("stopped: " + counters);
+    LOG.info("stopped: " + counters);
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> stopped.complete(null));
   }
 
   private void report() {
-    Log.info("counters: " + counters);
-    alarms.set(report, clock.now() + REPORT_US);
+    LOG.info("counters: " + counters);
+    alarms.set(report, clock.now() + reportUs);
   }
 }
--- a/src/main/java/tidebank/node/Turn.java
+++ b/gatherer/src/main/java/tidebank/node/Turn.java
@@ -7,13 +7,14 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import tidebank.Brain;
 import tidebank.base.Counters;
-import tidebank.base.Log;
 import tidebank.model.Action;
-import tidebank.model.Event;
 import tidebank.model.Event.ListKind;
 import tidebank.model.Event.ServerStatus;
+import tidebank.model.Event;
 import tidebank.model.Outcome;
 import tidebank.model.Settings;
 import tidebank.node.HeldScan.HeldPart;
@@ -24,6 +25,7 @@
  * It decides nothing. All of it runs on the event loop.
  */
 public final class Turn {
+  private static final Logger LOG = LoggerFactory.getLogger(Turn.class);
   private final Settings settings;
   private final Clock clock;
   private final Alarms alarms;
@@ -171,7 +173,7 @@
       }
       shards.flush();
     } catch (RuntimeException | VirtualMachineError fault) {
-      Log.error("module or turn failed; all that is held is abandoned", fault);
+      LOG.error("module or turn failed; all that is held is abandoned", fault);
       counters.add("turns.failed");
       startOver();
     }
@@ -217,7 +219,7 @@
     } else if (action instanceof Action.Probe probe) {
       shards.probe(probe.server());
     } else if (action instanceof Action.Note note) {
-      Log.info("module: " + note.text());
+      LOG.info("module: " + note.text());
     }
   }
 
--- a/src/test/java/tidebank/GathererTest.java
+++ b/gatherer/src/test/java/tidebank/GathererTest.java
@@ -27,6 +27,7 @@
 import tidebank.FakeSite.FakeClient.Response;
 import tidebank.FakeSite.FakeShardServer;
 import tidebank.FakeSite.FakeShardServer.Frame;
+import org.slf4j.event.Level;
 import tidebank.base.Log;
 
 /** A gatherer on sockets, between a client, shard servers and discovery that are stand-ins. */
@@ -38,7 +39,7 @@
 
   @BeforeAll
   static void watchForLeaks() {
-    Log.level(Log.Level.WARN);
+    Log.style(new Log.Style(Level.WARN, Log.Form.TEXT, 50));
     ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.PARANOID);
     ResourceLeakDetectorFactory.setResourceLeakDetectorFactory(new ResourceLeakDetectorFactory() {
       @Override
@@ -1016,7 +1017,7 @@
   @Test
   void wrongArgumentsAndAWrongConfigurationStopTheStartWithOneLine() throws Exception {
     assertThat(site.program(java.util.Map.of()).waitFor()).isEqualTo(2);
-    assertThat(site.errors.readLine()).isEqualTo("usage: java -jar tidebank.jar serve | wirehost");
+    assertThat(site.errors.readLine()).isEqualTo("usage: java -jar tidebank.jar serve [--config FILE] | wirehost");
     assertThat(site.program(java.util.Map.of("NODE_CONFIG", "/nowhere"), "serve").waitFor()).isEqualTo(2);
     assertThat(site.errors.lines())
         .containsExactly("tidebank: NODE_CONFIG: found /nowhere, wanted a file that can be read");
