--- a/gatherer/src/main/java/tidebank/node/Gatherer.java
+++ b/gatherer/src/main/java/tidebank/node/Gatherer.java
@@ -145,6 +145,9 @@
    * all that was taken answered. Completes when that is done.
    */
   public CompletableFuture<Void> stop() {
+    if (loop.isShuttingDown()) {
+      return stopped;
+    }
     loop.execute(() -> {
       if (!stopping) {
         stopping = true;
--- a/gatherer/src/main/java/tidebank/shard/ShardSide.java
+++ b/gatherer/src/main/java/tidebank/shard/ShardSide.java
@@ -145,8 +145,8 @@
     }
   }
 
-  /** Closes all connections. */
+  /** Closes all connections. A server that is gone leaves the map with its last one, hence the copy. */
   public void close() {
-    servers.values().forEach(server -> List.copyOf(server.connections).forEach(Connection::close));
+    List.copyOf(servers.values()).forEach(server -> List.copyOf(server.connections).forEach(Connection::close));
   }
 }
--- a/gatherer/src/test/java/tidebank/GathererTest.java
+++ b/gatherer/src/test/java/tidebank/GathererTest.java
@@ -1028,4 +1028,21 @@
       assertThat(site.errors.readLine()).contains("cannot listen on").contains("in use");
     }
   }
+
+  /** Found by a replay: the gatherer heard SIGTERM and never ended, as a gone server's last connection closed under its loop. */
+  @Test
+  void itEndsAlsoWhenServersThatAreGoneStillHaveConnections() throws Exception {
+    site.start();
+    try (FakeClient client = site.client()) {
+      for (int i = 0; i < 8; i++) {
+        assertThat(client.ask(scan("whole", "g" + i, 2000, 0.25, 0.25, 0.25, 0.25)).status()).isEqualTo(200);
+      }
+      site.discovery.call("after=41");
+      for (int i = 0; i < 3; i++) {
+        site.discovery.change(site.servers.get(i), "Gone");
+        site.discovery.call("after=" + (42 + i));
+      }
+    }
+    site.gatherer().stop().get(FakeSite.WAIT_MS, java.util.concurrent.TimeUnit.MILLISECONDS);
+  }
 }
--- /dev/null
+++ b/lab/src/main/java/tidebank/lab/account/RuleAudit.java
@@ -0,0 +1,310 @@
+package tidebank.lab.account;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import tidebank.model.Repeat;
+
+/**
+ * Checks the six rules from the outside: by what clients sent and got, what servers got, and what gatherers were told.
+ * Pure; all times come in, in microseconds of one clock. Events may come a little out of order (they are gathered from
+ * several threads): a scan is judged only when its time and a while are over, and is forgotten then.
+ */
+public final class RuleAudit {
+  /** How long after a scan's end its last traces may still come in. */
+  private static final long WHILE_US = 1_000_000;
+  private static final int KEPT = 50;
+
+  /** What the rules depend on. */
+  public record Figures(
+      long answerSlackUs,
+      long sendSlackUs,
+      long drainGraceUs,
+      double fallMultiple,
+      long fallAfterUs,
+      double freeFurther,
+      double furtherShare,
+      long furtherSpanUs) {}
+
+  /** How an answer came back to the client. */
+  public enum Reply {
+    ANSWERED,
+    THROTTLED,
+    FAILED,
+    NONE_AND_CLIENT_LEFT,
+    NONE
+  }
+
+  /** What became of a dispatch at its server. */
+  public enum Run {
+    RAN,
+    NEVER_RAN
+  }
+
+  /** A broken rule: which, when, and what was seen. */
+  public record Broken(int rule, long atUs, String what) {}
+
+  private static final class Held {
+    final int gatherer;
+    final Repeat repeat;
+    final double floor;
+    final long limitUs;
+    final Map<Integer, Double> weights;
+    final Map<Integer, List<Sent>> sent = new HashMap<>();
+    long answeredUs = -1;
+    Reply reply = Reply.NONE;
+    int answers;
+    boolean gathererDied;
+
+    Held(int gatherer, Repeat repeat, double floor, long limitUs, Map<Integer, Double> weights) {
+      this.gatherer = gatherer;
+      this.repeat = repeat;
+      this.floor = floor;
+      this.limitUs = limitUs;
+      this.weights = weights;
+    }
+  }
+
+  private record Sent(long atUs, int server, Run run) {}
+
+  private record Told(long atUs, boolean mayHaveWork) {}
+
+  private static final class Cold {
+    final Deque<double[]> arrivals = new ArrayDeque<>();
+    double sum;
+    boolean fell;
+  }
+
+  private final Figures figures;
+  private final Map<String, Held> scans = new LinkedHashMap<>();
+  private final Map<Integer, Map<Integer, Deque<Told>>> told = new HashMap<>();
+  private final Map<Integer, Cold> cold = new HashMap<>();
+  private final Map<Integer, Deque<Long>> taken = new HashMap<>();
+  private final Map<Integer, Deque<Long>> further = new HashMap<>();
+  private final Map<Integer, Long> counts = new TreeMap<>();
+  private final List<Broken> broken = new ArrayList<>();
+  private long judged;
+  private long dispatches;
+
+  public RuleAudit(Figures figures) {
+    this.figures = figures;
+  }
+
+  /** A client's try was written whole to a gatherer. */
+  public void scanSent(
+      String id, int gatherer, Repeat repeat, double floor, long atUs, long limitUs, Map<Integer, Double> weights) {
+    scans.put(id, new Held(gatherer, repeat, floor, limitUs, Map.copyOf(weights)));
+    if (figures.furtherSpanUs() > 0) {
+      Deque<Long> times = taken.computeIfAbsent(gatherer, g -> new ArrayDeque<>());
+      for (int i = 0; i <= weights.size(); i++) {
+        times.add(atUs);
+      }
+    }
+  }
+
+  /** A part came whole to a server. */
+  public void dispatched(String id, int shard, int gatherer, int server, long atUs, Run run) {
+    dispatches++;
+    Held held = scans.get(id);
+    if (held == null) {
+      // Its scan was judged long ago, or never asked: either way nothing should come.
+      breaks(1, atUs, "a part of scan " + id + " came to server " + server + " long after its end");
+      return;
+    }
+    List<Sent> before = held.sent.computeIfAbsent(shard, s -> new ArrayList<>());
+    if (!held.weights.containsKey(shard)) {
+      breaks(5, atUs, "scan " + id + " never asked for shard " + shard);
+    }
+    before.add(new Sent(atUs, server, run));
+    Deque<Told> lines = told.getOrDefault(gatherer, Map.of()).get(server);
+    Told last = null;
+    for (Told line : lines == null ? new ArrayDeque<Told>() : lines) {
+      last = line.atUs <= atUs ? line : last;
+    }
+    if (last != null && !last.mayHaveWork && atUs > last.atUs + figures.drainGraceUs() + figures.sendSlackUs()) {
+      breaks(3, atUs, "gatherer " + gatherer + " sent to server " + server + " " + (atUs - last.atUs) / 1000
+          + " ms after it was told that it drains or is gone");
+    }
+    if (before.size() > 1 && figures.furtherSpanUs() > 0) {
+      Deque<Long> times = further.computeIfAbsent(gatherer, g -> new ArrayDeque<>());
+      times.add(atUs);
+      double allowed = figures.freeFurther() + figures.furtherShare() * within(taken.get(gatherer), atUs);
+      long made = within(times, atUs);
+      if (made > allowed) {
+        breaks(6, atUs, "gatherer " + gatherer + " made " + made + " further dispatches where " + allowed + " are allowed");
+      }
+    }
+  }
+
+  private long within(Deque<Long> times, long now) {
+    while (times != null && !times.isEmpty() && times.peekFirst() < now - figures.furtherSpanUs()) {
+      times.pollFirst();
+    }
+    return times == null ? 0 : times.size();
+  }
+
+  /** Work came to a server that can do only this share of its work now (1: warm), of so much a second. */
+  public void workAt(int server, long atUs, double workUs, double capacityUsPerS, double warmth) {
+    if (warmth >= 1) {
+      cold.remove(server);
+      return;
+    }
+    Cold state = cold.computeIfAbsent(server, s -> new Cold());
+    state.arrivals.add(new double[] {atUs, workUs});
+    state.sum += workUs;
+    while (state.arrivals.peekFirst()[0] < atUs - figures.fallAfterUs()) {
+      state.sum -= state.arrivals.pollFirst()[1];
+    }
+    double allowed = figures.fallMultiple() * warmth * capacityUsPerS * figures.fallAfterUs() / 1e6;
+    if (state.sum > allowed * 1.1 && !state.fell) {
+      state.fell = true;
+      breaks(4, atUs, "server " + server + ", at " + Math.round(100 * warmth) + "% of its capacity, was sent "
+          + Math.round(state.sum / 1000) + " ms of work in " + figures.fallAfterUs() / 1000 + " ms");
+    }
+  }
+
+  /** Discovery wrote to a gatherer that a server may have work, or may have no new work. */
+  public void told(int gatherer, int server, boolean mayHaveWork, long atUs) {
+    Deque<Told> lines = told.computeIfAbsent(gatherer, g -> new HashMap<>())
+        .computeIfAbsent(server, s -> new ArrayDeque<>());
+    if (lines.isEmpty() || lines.peekLast().mayHaveWork != mayHaveWork) {
+      lines.add(new Told(atUs, mayHaveWork));
+      if (lines.size() > 64) {
+        lines.pollFirst();
+      }
+    }
+  }
+
+  /** A gatherer was killed or ended: what it held is no longer its duty. */
+  public void ended(int gatherer) {
+    scans.values().stream().filter(held -> held.gatherer == gatherer && held.answers == 0)
+        .forEach(held -> held.gathererDied = true);
+  }
+
+  /**
+   * A client has its reply whole, or has given up waiting.
+   *
+   * @param in the shards whose right value stands in the answer
+   * @param wrong how many values stand in it that no server made for it
+   */
+  public void replied(String id, long atUs, Reply reply, Set<Integer> in, int wrong, boolean whole) {
+    Held held = scans.get(id);
+    if (held == null) {
+      return;
+    }
+    if (reply == Reply.NONE_AND_CLIENT_LEFT) {
+      held.reply = reply;
+      held.answeredUs = atUs;
+      return;
+    }
+    if (reply == Reply.NONE) {
+      held.answeredUs = atUs;
+      return;
+    }
+    held.answers++;
+    held.answeredUs = atUs;
+    held.reply = reply;
+    if (held.answers > 1) {
+      breaks(1, atUs, "scan " + id + " got " + held.answers + " final answers");
+    }
+    if (atUs > held.limitUs + figures.answerSlackUs() + figures.sendSlackUs()) {
+      breaks(1, atUs, "scan " + id + " got its answer " + (atUs - held.limitUs) / 1000 + " ms after its time");
+    }
+    if (reply == Reply.ANSWERED) {
+      double share = 0;
+      for (int shard : new HashSet<>(in)) {
+        share += held.weights.getOrDefault(shard, 0.0);
+      }
+      if (wrong > 0) {
+        breaks(5, atUs, "scan " + id + " was answered with " + wrong + " values that no server made for it");
+      }
+      if (share < held.floor - 1e-4) {
+        breaks(5, atUs, "scan " + id + " was answered from a share of " + share + ", its least is " + held.floor);
+      }
+      if (whole && in.size() < held.weights.size()) {
+        breaks(5, atUs, "scan " + id + " was marked whole with " + in.size() + " of " + held.weights.size() + " parts");
+      }
+    }
+  }
+
+  /** Judges what has had its time; to be called now and then, and with the end of time at the end. */
+  public void judge(long nowUs) {
+    Iterator<Map.Entry<String, Held>> entries = scans.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<String, Held> entry = entries.next();
+      Held held = entry.getValue();
+      if (held.limitUs + figures.answerSlackUs() + WHILE_US > nowUs) {
+        // Scans of one table type come in order; a longer one in front only delays the others' judgement.
+        continue;
+      }
+      judge(entry.getKey(), held);
+      judged++;
+      entries.remove();
+    }
+  }
+
+  private void judge(String id, Held held) {
+    boolean answered = held.reply == Reply.ANSWERED || held.reply == Reply.THROTTLED || held.reply == Reply.FAILED;
+    if (!answered && !held.gathererDied && held.reply != Reply.NONE_AND_CLIENT_LEFT) {
+      breaks(1, held.limitUs, "scan " + id + " never got a final answer");
+    }
+    for (Map.Entry<Integer, List<Sent>> entry : held.sent.entrySet()) {
+      List<Sent> sent = entry.getValue();
+      sent.sort((a, b) -> Long.compare(a.atUs, b.atUs));
+      if (answered) {
+        for (Sent one : sent) {
+          if (one.atUs > held.answeredUs + figures.sendSlackUs()) {
+            breaks(1, one.atUs, "shard " + entry.getKey() + " of scan " + id + " was sent "
+                + (one.atUs - held.answeredUs) / 1000 + " ms after the final answer");
+          }
+        }
+      }
+      if (held.repeat == Repeat.NON_REPLAYABLE) {
+        boolean ran = false;
+        for (Sent one : sent) {
+          if (ran) {
+            breaks(2, one.atUs, "shard " + entry.getKey() + " of scan " + id
+                + ", which must not run twice, was sent again after it may have run");
+          }
+          ran |= one.run == Run.RAN;
+        }
+        if (ran && held.reply == Reply.THROTTLED) {
+          breaks(2, held.answeredUs, "scan " + id + ", which must not run twice, was throttled after a part had run");
+        }
+      }
+    }
+  }
+
+  private void breaks(int rule, long atUs, String what) {
+    counts.merge(rule, 1L, Long::sum);
+    if (broken.size() < KEPT) {
+      broken.add(new Broken(rule, atUs, what));
+    }
+  }
+
+  /** How often each rule was broken; empty is good. */
+  public Map<Integer, Long> counts() {
+    return counts;
+  }
+
+  /** The first of them, in words. */
+  public List<Broken> broken() {
+    return broken;
+  }
+
+  public long judged() {
+    return judged;
+  }
+
+  public long dispatches() {
+    return dispatches;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/tidebank/lab/replay/Clients.java
@@ -0,0 +1,460 @@
+package tidebank.lab.replay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import tidebank.lab.account.Account;
+import tidebank.lab.account.RuleAudit;
+import tidebank.lab.account.ScanRecord;
+import tidebank.lab.replay.ClientRules.Came;
+import tidebank.lab.site.Site;
+import tidebank.lab.standin.Values;
+import tidebank.lab.trace.TraceRow;
+import tidebank.node.Clock;
+
+/**
+ * The clients of a replay: an open loop, in which arrivals never wait for answers. A scan is sent at its intended time
+ * or as soon after it as this process can; how late that was is measured, and a scan's time counts from when it was
+ * intended. All of it belongs to one event loop; only the reading of the trace has a thread of its own.
+ */
+final class Clients {
+  private static final int AHEAD = 20_000;
+  private static final int BODY_MOST = 4 << 20;
+  /** How long after a client's time an answer is still waited for, to tell a late answer from none. */
+  private static final long PATIENCE_US = 300_000;
+  private static final int CONNECTIONS_MOST = 2000;
+
+  /** One gatherer as its clients see it. */
+  static final class Target {
+    final int number;
+    volatile InetSocketAddress address;
+    volatile boolean admitted = true;
+    private final Deque<Channel> idle = new ArrayDeque<>();
+    private int open;
+
+    Target(int number, InetSocketAddress address) {
+      this.number = number;
+      this.address = address;
+    }
+  }
+
+  private static final class Scan {
+    final long number;
+    final TraceRow row;
+    final Site.Type type;
+    final long intended;
+    final long limit;
+    final Map<Integer, Double> weights = new HashMap<>();
+    final String body;
+    long sent = -1;
+    int tries;
+
+    Scan(long number, TraceRow row, Site.Type type, long intended, int shards) {
+      this.number = number;
+      this.row = row;
+      this.type = type;
+      this.intended = intended;
+      limit = intended + type.timeoutUs();
+      int parts = Math.min(row.parts(), shards);
+      StringBuilder ranges = new StringBuilder("{\"ranges\":[");
+      for (int place = 0; place < parts; place++) {
+        int shard = (row.depot() + place) % shards;
+        double weight = parts == row.parts() ? row.weightOf(place) : 1.0 / parts;
+        weights.put(shard, weight);
+        ranges.append(place > 0 ? "," : "").append("{\"range\":").append(shard).append(",\"portion\":")
+            .append(String.format(Locale.ROOT, "%.7f", weight)).append('}');
+      }
+      body = ranges.append("],\"predicate\":\"").append(Values.text(safe(row.key()), row.workUs())).append("\"}")
+          .toString();
+    }
+
+    private static String safe(String key) {
+      return key.replaceAll("[^A-Za-z0-9_.:/-]", "_");
+    }
+  }
+
+  private final class Try {
+    final Scan scan;
+    final Target target;
+    final String id;
+    Channel channel;
+    ScheduledFuture<?> timer;
+    boolean written;
+    boolean over;
+
+    Try(Scan scan, Target target) {
+      this.scan = scan;
+      this.target = target;
+      id = seedText + "-" + Long.toString(scan.number, 36) + "-" + scan.tries;
+    }
+  }
+
+  private final Site site;
+  private final List<Target> targets;
+  private final ClientRules rules;
+  private final RuleAudit audit;
+  private final Clock clock;
+  private final EventLoop loop;
+  private final String seedText;
+  private final Consumer<ScanRecord> to;
+  private final ObjectMapper json = new ObjectMapper();
+  private final Bootstrap bootstrap;
+  private final BlockingQueue<Scan> ahead = new ArrayBlockingQueue<>(AHEAD);
+  private final CompletableFuture<Void> ended = new CompletableFuture<>();
+  private final Histogram lateness = new Histogram(TimeUnit.MINUTES.toMicros(10), 3);
+  private final Histogram latency = new Histogram(TimeUnit.MINUTES.toMicros(10), 3);
+  private volatile boolean read;
+  private long startUs;
+  private long held;
+  private long sent;
+  private int turn;
+
+  Clients(Site site, List<Target> targets, ClientRules rules, RuleAudit audit, Clock clock, EventLoop loop,
+      String seedText, Consumer<ScanRecord> to) {
+    this.site = site;
+    this.targets = targets;
+    this.rules = rules;
+    this.audit = audit;
+    this.clock = clock;
+    this.loop = loop;
+    this.seedText = seedText;
+    this.to = to;
+    bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000).handler(new ChannelInitializer<>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(BODY_MOST), new Answers());
+          }
+        });
+  }
+
+  /** Begins to send rows whose times count from this moment. The future ends when the last has its end. */
+  CompletableFuture<Void> begin(Iterator<TraceRow> rows, long startAtUs) {
+    startUs = startAtUs;
+    Thread reader = new Thread(() -> {
+      try {
+        long number = 0;
+        while (rows.hasNext() && !ended.isDone()) {
+          TraceRow row = rows.next();
+          Site.Type type = site.types().get(row.tableType());
+          if (type == null) {
+            throw new IOException("table type \"" + row.tableType() + "\" of the trace is none of the site's: "
+                + String.join(", ", site.types().keySet()));
+          }
+          Scan scan = new Scan(number++, row, type, startAtUs + row.timeUs(), site.shards());
+          while (!ahead.offer(scan, 100, TimeUnit.MILLISECONDS)) {
+            if (ended.isDone()) {
+              return;
+            }
+          }
+        }
+        read = true;
+      } catch (Exception fault) {
+        ended.completeExceptionally(fault);
+      }
+    }, "trace reader");
+    reader.setDaemon(true);
+    reader.start();
+    loop.execute(this::pump);
+    return ended;
+  }
+
+  void stop() {
+    ended.complete(null);
+  }
+
+  long sent() {
+    return sent;
+  }
+
+  Histogram lateness() {
+    return lateness;
+  }
+
+  Histogram latency() {
+    return latency;
+  }
+
+  /** Sends what is due, and comes back for the next. */
+  private void pump() {
+    if (ended.isDone()) {
+      return;
+    }
+    long now = clock.now();
+    for (Scan next = ahead.peek(); next != null && next.intended <= now; next = ahead.peek()) {
+      ahead.poll();
+      held++;
+      next.sent = now;
+      lateness.recordValue(Math.min(lateness.getHighestTrackableValue(), now - next.intended));
+      sent++;
+      send(next);
+    }
+    Scan next = ahead.peek();
+    if (next == null && read && held == 0) {
+      ended.complete(null);
+      return;
+    }
+    long wait = next == null ? 1000 : Math.max(0, Math.min(next.intended - clock.now(), 50_000));
+    loop.schedule(this::pump, wait, TimeUnit.MICROSECONDS);
+  }
+
+  private Target target() {
+    for (int i = 0; i < targets.size(); i++) {
+      Target one = targets.get(turn++ % targets.size());
+      if (one.admitted) {
+        return one;
+      }
+    }
+    return targets.get(turn++ % targets.size());
+  }
+
+  private void send(Scan scan) {
+    scan.tries++;
+    Try one = new Try(scan, target());
+    one.timer = loop.schedule(() -> over(one, Came.TIMED_OUT, 0), scan.limit + PATIENCE_US - clock.now(),
+        TimeUnit.MICROSECONDS);
+    Channel idle;
+    while ((idle = one.target.idle.pollLast()) != null) {
+      if (idle.isActive()) {
+        write(one, idle);
+        return;
+      }
+    }
+    if (one.target.open >= CONNECTIONS_MOST) {
+      over(one, Came.NOT_REACHED, 0);
+      return;
+    }
+    one.target.open++;
+    bootstrap.connect(one.target.address).addListener((ChannelFuture connected) -> {
+      if (!connected.isSuccess()) {
+        one.target.open--;
+        over(one, Came.NOT_REACHED, 0);
+        return;
+      }
+      Channel channel = connected.channel();
+      channel.closeFuture().addListener(closed -> {
+        one.target.open--;
+        one.target.idle.remove(channel);
+      });
+      if (one.over) {
+        one.target.idle.add(channel);
+      } else {
+        write(one, channel);
+      }
+    });
+  }
+
+  private void write(Try one, Channel channel) {
+    Scan scan = one.scan;
+    long now = clock.now();
+    long left = scan.limit - now;
+    if (left <= 0) {
+      one.target.idle.add(channel);
+      over(one, Came.TIMED_OUT, 0);
+      return;
+    }
+    one.channel = channel;
+    channel.pipeline().get(Answers.class).current = one;
+    ByteBuf body = Unpooled.copiedBuffer(scan.body, StandardCharsets.UTF_8);
+    DefaultFullHttpRequest request =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/" + scan.type.name(), body);
+    request.headers().set(HttpHeaderNames.HOST, "replay").set("X-Correlation-Id", one.id)
+        .set("X-Account", scan.row.account().isEmpty() ? "nobody" : scan.row.account()).set("X-Time-Left", left + "u")
+        .setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    if (scan.tries > 1) {
+      request.headers().set("X-Repeat", "1");
+    }
+    // Told before it is written, so that no dispatch of it can be seen first.
+    audit.scanSent(one.id, one.target.number, scan.type.repeat(), scan.type.floor(), now, scan.limit, scan.weights);
+    channel.writeAndFlush(request).addListener(written -> {
+      one.written = written.isSuccess();
+      if (!written.isSuccess()) {
+        channel.close();
+        over(one, Came.NOT_REACHED, 0);
+      }
+    });
+  }
+
+  /** A try is over, and with it perhaps the scan. */
+  private void over(Try one, Came came, long holdOffUs) {
+    if (one.over) {
+      return;
+    }
+    one.over = true;
+    one.timer.cancel(false);
+    long now = clock.now();
+    if (one.channel != null && came != Came.ANSWERED && came != Came.THROTTLED && came != Came.FAILED) {
+      // No answer: the client leaves; whether that was the gatherer's fault is the audit's to say.
+      audit.replied(one.id, now, came == Came.TIMED_OUT ? RuleAudit.Reply.NONE : RuleAudit.Reply.NONE_AND_CLIENT_LEFT,
+          Set.of(), 0, false);
+      one.channel.close();
+    }
+    Scan scan = one.scan;
+    long again = rules.again(String.valueOf(scan.number), scan.type.repeat(), came, scan.tries, now, holdOffUs, scan.limit);
+    if (again >= 0 && !ended.isDone()) {
+      loop.schedule(() -> send(scan), again - now, TimeUnit.MICROSECONDS);
+      return;
+    }
+    ScanRecord.End end = switch (came) {
+      case ANSWERED -> ScanRecord.End.COMPLETED;
+      case THROTTLED -> ScanRecord.End.THROTTLED;
+      case FAILED -> ScanRecord.End.ABANDONED;
+      case NOT_REACHED -> ScanRecord.End.NOT_REACHED;
+      case BROKEN_OFF -> ScanRecord.End.BROKEN_OFF;
+      case TIMED_OUT -> ScanRecord.End.TIMED_OUT;
+    };
+    record(scan, end, now, 0, false);
+  }
+
+  private void answered(Try one, double share, boolean whole) {
+    one.over = true;
+    one.timer.cancel(false);
+    long now = clock.now();
+    long took = now - one.scan.intended;
+    record(one.scan, took <= one.scan.type.targetUs() ? ScanRecord.End.COMPLETED
+        : took <= one.scan.type.timeoutUs() ? ScanRecord.End.COMPLETED_LATE : ScanRecord.End.TIMED_OUT, now, share, whole);
+  }
+
+  private void record(Scan scan, ScanRecord.End end, long now, double share, boolean whole) {
+    boolean completed = end == ScanRecord.End.COMPLETED || end == ScanRecord.End.COMPLETED_LATE;
+    long took = now - scan.intended;
+    if (completed) {
+      latency.recordValue(Math.min(latency.getHighestTrackableValue(), took));
+    }
+    double earned = completed ? Account.earned(scan.type.benefit(), took, scan.type.targetUs(), scan.type.timeoutUs(),
+        scan.type.lateShare(), whole, share, scan.type.partialShare()) : 0;
+    held--;
+    to.accept(new ScanRecord(scan.number, scan.type.name(), scan.row.account(), scan.intended - startUs,
+        scan.sent - startUs, now - startUs, end, share, whole, scan.tries, scan.type.benefit(), earned));
+  }
+
+  /** Reads what comes back on a connection. */
+  private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private Try current;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      Try one = current;
+      current = null;
+      if (one == null) {
+        context.close();
+        return;
+      }
+      boolean stays = HttpUtil.isKeepAlive(response);
+      int status = response.status().code();
+      long now = clock.now();
+      if (status == 200) {
+        ok(one, response, now);
+      } else {
+        boolean throttled = status == 429 || status == 503;
+        audit.replied(one.id, now, throttled ? RuleAudit.Reply.THROTTLED : RuleAudit.Reply.FAILED, Set.of(), 0, false);
+        over(one, throttled ? Came.THROTTLED : Came.FAILED, holdOff(response.headers().get("Retry-After")));
+      }
+      if (stays) {
+        one.target.idle.add(context.channel());
+      } else {
+        context.close();
+      }
+    }
+
+    private void ok(Try one, FullHttpResponse response, long now) {
+      Set<Integer> in = new HashSet<>();
+      int wrong = 0;
+      boolean whole;
+      double share = 0;
+      try (ByteBufInputStream body = new ByteBufInputStream(response.content())) {
+        JsonNode answer = json.readTree((java.io.InputStream) body);
+        whole = answer.path("total").asBoolean();
+        for (JsonNode part : answer.path("answers")) {
+          int shard = part.path("range").asInt(-1);
+          if (part.path("blob").asText().equals(Values.of(one.id + "." + shard))) {
+            if (in.add(shard)) {
+              share += one.scan.weights.getOrDefault(shard, 0.0);
+            }
+          } else {
+            wrong++;
+          }
+        }
+      } catch (IOException fault) {
+        audit.replied(one.id, now, RuleAudit.Reply.FAILED, Set.of(), 0, false);
+        over(one, Came.FAILED, 0);
+        return;
+      }
+      audit.replied(one.id, now, RuleAudit.Reply.ANSWERED, in, wrong, whole);
+      if (!one.over) {
+        answered(one, share, whole);
+      }
+    }
+
+    private static long holdOff(String seconds) {
+      try {
+        return seconds == null ? 0 : Math.max(0, Math.round(Double.parseDouble(seconds) * 1e6));
+      } catch (NumberFormatException fault) {
+        return 0;
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      Try one = current;
+      current = null;
+      if (one != null) {
+        over(one, one.written ? Came.BROKEN_OFF : Came.NOT_REACHED, 0);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+
+  /** Connections that are still open are closed; to be called on the loop's thread or before its end. */
+  void close() {
+    loop.submit(() -> {
+      for (Target target : targets) {
+        new ArrayList<>(target.idle).forEach(Channel::close);
+        target.idle.clear();
+      }
+    }).awaitUninterruptibly();
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/tidebank/lab/replay/Replay.java
@@ -0,0 +1,308 @@
+package tidebank.lab.replay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tidebank.lab.account.Account;
+import tidebank.lab.account.RuleAudit;
+import tidebank.lab.account.ScanRecord;
+import tidebank.lab.site.Site;
+import tidebank.lab.standin.DiscoveryStandIn;
+import tidebank.lab.standin.DiscoveryStandIn.Health;
+import tidebank.lab.standin.Ledger;
+import tidebank.lab.standin.ServerModel;
+import tidebank.lab.standin.ShardStandIn;
+import tidebank.lab.standin.SlotsModel;
+import tidebank.lab.trace.TraceRow;
+import tidebank.node.Clock;
+
+/**
+ * Plays rows through real gatherer processes on loopback, between clients, shard servers and discovery that are
+ * stand-ins in this process, and accounts for what came of it.
+ */
+public final class Replay {
+  private static final Logger LOG = LoggerFactory.getLogger(Replay.class);
+  private static final long AUDIT_EVERY_MS = 20;
+  private static final long LEAD_US = 200_000;
+  /** On loopback a thing that was written can be this much later at the other side, on a busy machine. */
+  private static final long SEND_SLACK_US = 100_000;
+  private static final int SOCKETS = 1024;
+
+  /**
+   * What to play with.
+   *
+   * @param gatherers processes
+   * @param servers stand-ins
+   * @param seed of ids and chance
+   * @param incidents what happens meanwhile
+   */
+  public record Plan(Site site, int gatherers, int servers, long seed, List<Incident> incidents) {}
+
+  /** What came of it. */
+  public record Outcome(
+      Account.Figures figures,
+      Map<Long, Double> serviceBySecond,
+      Map<String, Double> serviceByType,
+      Map<String, Double> serviceByAccount,
+      Map<Integer, Long> brokenRules,
+      List<RuleAudit.Broken> broken,
+      long scansJudged,
+      long dispatches,
+      Histogram lateness,
+      Histogram latency,
+      Map<String, Integer> exitCodes,
+      long sent,
+      double seconds) {
+    public boolean rulesKept() {
+      return brokenRules.isEmpty();
+    }
+  }
+
+  private final Plan plan;
+  private final Consumer<ScanRecord> records;
+  private final LongConsumer progress;
+  private final Account account = new Account();
+  private final List<GathererProcess> processes = new ArrayList<>();
+  private final Map<String, Integer> exits = new TreeMap<>();
+  private volatile boolean ending;
+  private volatile Clients clients;
+
+  /** Records are handed on as scans end, on an event loop; the progress is told the scans sent. */
+  public Replay(Plan plan, Consumer<ScanRecord> records, LongConsumer progress) {
+    this.plan = plan;
+    this.records = records;
+    this.progress = progress;
+  }
+
+  /** Ends a replay that is under way; what was sent so far is accounted for. */
+  public void interrupt() {
+    Clients running = clients;
+    if (running != null) {
+      running.stop();
+    }
+  }
+
+  /** Ends all gatherers at once, whatever they hold. */
+  public void kill() {
+    ending = true;
+    synchronized (processes) {
+      processes.forEach(GathererProcess::close);
+    }
+  }
+
+  /** Plays the rows to their end. */
+  public Outcome run(Iterator<TraceRow> rows) throws IOException {
+    Site site = plan.site();
+    Clock clock = new Clock();
+    Ledger ledger = new Ledger();
+    RuleAudit audit = new RuleAudit(new RuleAudit.Figures(site.rules().answerSlackUs(), SEND_SLACK_US,
+        site.rules().drainGraceUs(), site.rules().fallMultiple(), site.rules().fallAfterUs(), site.rules().freeFurther(),
+        site.rules().furtherShare(), site.rules().furtherSpanUs()));
+    MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, new DefaultThreadFactory("replay", true),
+        NioIoHandler.newFactory());
+    EventLoop front = group.next();
+    EventLoop back = group.next();
+    List<ShardStandIn> servers = new ArrayList<>();
+    Thread onExit = new Thread(this::kill);
+    Runtime.getRuntime().addShutdownHook(onExit);
+    try {
+      for (int i = 0; i < plan.servers(); i++) {
+        ServerModel model = new SlotsModel(site.server().slots(), site.server().queue(), site.server().coldFrom(),
+            site.server().warmUs());
+        ShardStandIn server = new ShardStandIn(i, plan.servers(), plan.gatherers(), site, model, ledger, clock, back);
+        server.open();
+        servers.add(server);
+      }
+      DiscoveryStandIn discovery = new DiscoveryStandIn(servers, plan.gatherers(), ledger, clock, back);
+      discovery.open();
+      List<Clients.Target> targets = startGatherers(discovery);
+      ClientRules rules = new ClientRules(site.clients().retries(), site.clients().waitUs(), plan.seed());
+      Clients sender = new Clients(site, targets, rules, audit, clock, front, Long.toHexString(plan.seed()), record -> {
+        account.add(record);
+        records.accept(record);
+      });
+      long start = clock.now() + LEAD_US;
+      front.scheduleAtFixedRate(() -> {
+        ledger.drainTo(audit);
+        audit.judge(clock.now() - SEND_SLACK_US);
+        progress.accept(sender.sent());
+      }, AUDIT_EVERY_MS, AUDIT_EVERY_MS, TimeUnit.MILLISECONDS);
+      clients = sender;
+      CompletableFuture<Void> ended = sender.begin(rows, start);
+      Thread script = new Thread(() -> play(start, clock, servers, discovery, targets, audit, front, ended), "incidents");
+      script.setDaemon(true);
+      script.start();
+      await(ended);
+      double seconds = (clock.now() - start) / 1e6;
+      // What was sent late is still on its way; the audit wants to see it.
+      await(front.schedule(() -> null, SEND_SLACK_US + 100_000, TimeUnit.MICROSECONDS));
+      front.submit(() -> {
+        ledger.drainTo(audit);
+        audit.judge(Long.MAX_VALUE / 2);
+      }).syncUninterruptibly();
+      sender.close();
+      stopGatherers();
+      return new Outcome(account.figures(), account.bySecond(), account.byType(), account.byAccount(), audit.counts(),
+          audit.broken(), audit.judged(), audit.dispatches(), sender.lateness(), sender.latency(), exits, sender.sent(),
+          seconds);
+    } finally {
+      kill();
+      try {
+        Runtime.getRuntime().removeShutdownHook(onExit);
+      } catch (IllegalStateException exiting) {
+        // The process is on its way out, and the hook runs already.
+      }
+      ShardStandIn.closeAll(servers, group);
+    }
+  }
+
+  private List<Clients.Target> startGatherers(DiscoveryStandIn discovery) throws IOException {
+    List<GathererProcess> started = new ArrayList<>();
+    for (int i = 0; i < plan.gatherers(); i++) {
+      started.add(start(i, "127.0.0.1:0", discovery));
+    }
+    List<Clients.Target> targets = new ArrayList<>();
+    for (int i = 0; i < started.size(); i++) {
+      started.get(i).ready();
+      targets.add(new Clients.Target(i, started.get(i).address()));
+    }
+    return targets;
+  }
+
+  private GathererProcess start(int number, String listen, DiscoveryStandIn discovery) throws IOException {
+    String seed = String.format("%016x", plan.seed() * 31 + number);
+    InetSocketAddress from = discovery.address(number);
+    GathererProcess process = GathererProcess.start("g" + number, plan.site().gathererFile("g" + number, listen,
+        "127.0.0.1:" + from.getPort(), seed, plan.gatherers(), plan.servers(), SOCKETS));
+    synchronized (processes) {
+      processes.add(process);
+      if (ending) {
+        process.close();
+      }
+    }
+    return process;
+  }
+
+  private GathererProcess latest(int number) {
+    synchronized (processes) {
+      for (int i = processes.size() - 1; i >= 0; i--) {
+        if (processes.get(i).name().equals("g" + number)) {
+          return processes.get(i);
+        }
+      }
+    }
+    throw new IllegalArgumentException("no gatherer " + number);
+  }
+
+  private void play(long start, Clock clock, List<ShardStandIn> servers, DiscoveryStandIn discovery,
+      List<Clients.Target> targets, RuleAudit audit, EventLoop front, CompletableFuture<Void> ended) {
+    List<Incident> incidents = new ArrayList<>(plan.incidents());
+    incidents.sort(Comparator.comparingLong(Incident::atUs));
+    for (Incident incident : incidents) {
+      long wait = start + incident.atUs() - clock.now();
+      try {
+        if (wait > 0) {
+          ended.get(wait, TimeUnit.MICROSECONDS);
+        }
+        if (ended.isDone()) {
+          return;
+        }
+      } catch (TimeoutException due) {
+        // The usual way: it is time.
+      } catch (ExecutionException | InterruptedException over) {
+        return;
+      }
+      LOG.debug("incident: {} {}", incident.kind(), incident.number());
+      try {
+        happen(incident, clock, servers, discovery, targets, audit, front);
+      } catch (IOException | RuntimeException fault) {
+        ended.completeExceptionally(fault);
+        return;
+      }
+    }
+  }
+
+  private void happen(Incident incident, Clock clock, List<ShardStandIn> servers, DiscoveryStandIn discovery,
+      List<Clients.Target> targets, RuleAudit audit, EventLoop front) throws IOException {
+    int number = incident.number();
+    switch (incident.kind()) {
+      case SERVER_DRAINS -> {
+        discovery.change(number, Health.Terminating, 0);
+        servers.get(number).drain();
+      }
+      case SERVER_DIES -> servers.get(number).kill();
+      case ROSTER_GONE -> discovery.change(number, Health.Gone, 0);
+      case SERVER_BACK -> {
+        servers.get(number).back();
+        discovery.change(number, Health.Ready, clock.now() / 1000);
+      }
+      case SERVER_SILENT -> servers.get(number).silent(true);
+      case SERVER_SPEAKS -> servers.get(number).silent(false);
+      case GATHERER_KILLED, GATHERER_RESTARTED -> {
+        GathererProcess old = latest(number);
+        Clients.Target target = targets.get(number);
+        if (incident.kind() == Incident.Kind.GATHERER_KILLED) {
+          old.kill();
+          front.execute(() -> audit.ended(number));
+          target.admitted = false;
+          old.waitFor(2000);
+        } else {
+          target.admitted = false;
+          old.terminate();
+          exits.put("g" + number + " restarted", old.waitFor(10_000));
+        }
+        GathererProcess fresh = start(number, "127.0.0.1:" + target.address.getPort(), discovery);
+        fresh.ready();
+        target.address = fresh.address();
+        target.admitted = true;
+      }
+    }
+  }
+
+  /** SIGTERM to all; each has the time that the platform gives. */
+  private void stopGatherers() {
+    List<GathererProcess> all;
+    synchronized (processes) {
+      all = new ArrayList<>(processes);
+    }
+    List<GathererProcess> alive = all.stream().filter(GathererProcess::alive).toList();
+    alive.forEach(GathererProcess::terminate);
+    for (GathererProcess process : alive) {
+      int code = process.waitFor(10_000);
+      exits.put(process.name(), code);
+      if (code != 0) {
+        LOG.warn("gatherer {} ended with {}; it said last:\n{}", process.name(), code, process.lastLines());
+      }
+    }
+  }
+
+  private static void await(java.util.concurrent.Future<?> future) throws IOException {
+    try {
+      future.get();
+    } catch (ExecutionException fault) {
+      Throwable cause = fault.getCause();
+      throw cause instanceof IOException io ? io : new IOException(String.valueOf(cause), cause);
+    } catch (InterruptedException fault) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted");
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/tidebank/lab/report/Page.java
@@ -0,0 +1,62 @@
+package tidebank.lab.report;
+
+import java.util.List;
+
+/** A page of HTML that stands alone: text, tables, charts as SVG, no script. */
+public final class Page {
+  private static final String STYLE = "body{font:15px/1.5 system-ui,sans-serif;max-width:62em;margin:2em auto;padding:0 1em;"
+      + "color:#222}table{border-collapse:collapse;margin:1em 0}td,th{border-bottom:1px solid #ddd;padding:.25em .8em;"
+      + "text-align:right}td:first-child,th:first-child{text-align:left}svg{max-width:100%;height:auto}"
+      + ".bad{color:#b00020;font-weight:600}.good{color:#00695c}";
+  private final StringBuilder body = new StringBuilder();
+  private final String title;
+
+  public Page(String title) {
+    this.title = title;
+    body.append("<h1>").append(escaped(title)).append("</h1>\n");
+  }
+
+  public Page heading(String text) {
+    body.append("<h2>").append(escaped(text)).append("</h2>\n");
+    return this;
+  }
+
+  public Page text(String text) {
+    body.append("<p>").append(escaped(text)).append("</p>\n");
+    return this;
+  }
+
+  public Page verdict(boolean good, String text) {
+    body.append("<p class=\"").append(good ? "good" : "bad").append("\">").append(escaped(text)).append("</p>\n");
+    return this;
+  }
+
+  public Page table(List<String> head, List<List<String>> rows) {
+    body.append("<table><tr>");
+    head.forEach(cell -> body.append("<th>").append(escaped(cell)).append("</th>"));
+    body.append("</tr>\n");
+    for (List<String> row : rows) {
+      body.append("<tr>");
+      row.forEach(cell -> body.append("<td>").append(escaped(cell)).append("</td>"));
+      body.append("</tr>\n");
+    }
+    body.append("</table>\n");
+    return this;
+  }
+
+  /** A chart as it came from {@link Charts}. */
+  public Page chart(String svg) {
+    body.append(svg).append('\n');
+    return this;
+  }
+
+  private static String escaped(String text) {
+    return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+  }
+
+  @Override
+  public String toString() {
+    return "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>" + escaped(title) + "</title><style>"
+        + STYLE + "</style></head><body>\n" + body + "</body></html>\n";
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/tidebank/lab/report/RunFolder.java
@@ -0,0 +1,211 @@
+package tidebank.lab.report;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.HistogramLogWriter;
+import tidebank.lab.account.Account;
+import tidebank.lab.account.RuleAudit;
+import tidebank.lab.account.ScanRecord;
+import tidebank.lab.replay.Replay;
+
+/** A replay's results in a folder of their own: manifest, rows, histograms, report as JSON and as a page. */
+public final class RunFolder implements Closeable {
+  private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+  private static final DateTimeFormatter NAME = DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss").withZone(ZoneOffset.UTC);
+  private static final double[] QUANTILES = {50, 90, 99, 99.9, 100};
+
+  private final Path folder;
+  private final Table scans;
+  private final Map<Long, Map<String, Long>> ends = new TreeMap<>();
+
+  /** Makes a folder below another, named by the time and a word. */
+  public static RunFolder create(Path runs, String word) throws IOException {
+    String stem = NAME.format(Instant.now()) + "-" + word.replaceAll("[^A-Za-z0-9_-]+", "-");
+    Path folder = runs.resolve(stem);
+    for (int i = 2; Files.exists(folder); i++) {
+      folder = runs.resolve(stem + "-" + i);
+    }
+    Files.createDirectories(folder);
+    return new RunFolder(folder);
+  }
+
+  private RunFolder(Path folder) throws IOException {
+    this.folder = folder;
+    Map<String, Class<?>> columns = new LinkedHashMap<>();
+    columns.put("number", Long.class);
+    columns.put("table_type", String.class);
+    columns.put("account", String.class);
+    columns.put("intended_us", Long.class);
+    columns.put("sent_us", Long.class);
+    columns.put("end_us", Long.class);
+    columns.put("end", String.class);
+    columns.put("share", Double.class);
+    columns.put("whole", Boolean.class);
+    columns.put("tries", Integer.class);
+    columns.put("benefit", Double.class);
+    columns.put("earned", Double.class);
+    scans = new Table(folder.resolve("scans.parquet"), columns);
+  }
+
+  public Path folder() {
+    return folder;
+  }
+
+  /** A scan's end; from one thread. */
+  public void add(ScanRecord scan) {
+    try {
+      scans.add(scan.number(), scan.tableType(), scan.account(), scan.intendedUs(), scan.sentUs(), scan.endUs(),
+          scan.end().name(), scan.share(), scan.whole(), scan.tries(), scan.benefit(), scan.earned());
+    } catch (IOException fault) {
+      throw new UncheckedIOException(fault);
+    }
+    ends.computeIfAbsent(Math.floorDiv(scan.intendedUs(), 1_000_000), second -> new TreeMap<>())
+        .merge(scan.end().name(), 1L, Long::sum);
+  }
+
+  /** Writes all but the rows, which are there already. */
+  public ObjectNode finish(Replay.Outcome outcome, Map<String, Object> manifest) throws IOException {
+    scans.close();
+    ObjectNode report = report(outcome);
+    Files.writeString(folder.resolve("manifest.json"), JSON.writeValueAsString(manifest));
+    Files.writeString(folder.resolve("report.json"), JSON.writeValueAsString(report));
+    try (PrintStream log = new PrintStream(Files.newOutputStream(folder.resolve("latency.hlog")))) {
+      HistogramLogWriter writer = new HistogramLogWriter(log);
+      writer.outputLogFormatVersion();
+      writer.outputLegend();
+      for (Map.Entry<String, Histogram> one : Map.of("latency_us", outcome.latency(), "lateness_us", outcome.lateness())
+          .entrySet()) {
+        one.getValue().setTag(one.getKey());
+        one.getValue().setStartTimeStamp(0);
+        one.getValue().setEndTimeStamp((long) (outcome.seconds() * 1000));
+        writer.outputIntervalHistogram(one.getValue());
+      }
+    }
+    Files.writeString(folder.resolve("report.html"), page(outcome, manifest).toString());
+    return report;
+  }
+
+  private static ObjectNode report(Replay.Outcome outcome) {
+    Account.Figures figures = outcome.figures();
+    ObjectNode report = JSON.createObjectNode();
+    report.put("score", figures.score()).put("whole", figures.whole()).put("worst_10s", figures.worstWindow())
+        .put("worst_10s_from_s", figures.worstWindowFromS()).put("worst_table_type", figures.worstType())
+        .put("worst_table_type_name", figures.worstTypeName()).put("worst_account", figures.worstAccount())
+        .put("worst_account_name", figures.worstAccountName()).put("scans", figures.scans())
+        .put("seconds", outcome.seconds()).put("dispatches", outcome.dispatches())
+        .put("scans_judged", outcome.scansJudged()).put("rules_kept", outcome.rulesKept());
+    ObjectNode ends = report.putObject("ends");
+    figures.ends().forEach((end, count) -> ends.put(end.name(), count));
+    ObjectNode types = report.putObject("by_table_type");
+    outcome.serviceByType().forEach(types::put);
+    ObjectNode rules = report.putObject("broken_rules");
+    outcome.brokenRules().forEach((rule, count) -> rules.put(String.valueOf(rule), count));
+    report.putPOJO("first_broken", outcome.broken().stream().map(RuleAudit.Broken::what).toList());
+    quantiles(report.putObject("latency_ms"), outcome.latency());
+    quantiles(report.putObject("lateness_of_sending_ms"), outcome.lateness());
+    ObjectNode exits = report.putObject("exit_codes");
+    outcome.exitCodes().forEach(exits::put);
+    return report;
+  }
+
+  private static void quantiles(ObjectNode to, Histogram histogram) {
+    for (double quantile : QUANTILES) {
+      to.put("p" + (quantile == Math.rint(quantile) ? String.valueOf((int) quantile) : String.valueOf(quantile)),
+          histogram.getTotalCount() == 0 ? null : histogram.getValueAtPercentile(quantile) / 1000.0);
+    }
+  }
+
+  private Page page(Replay.Outcome outcome, Map<String, Object> manifest) {
+    Account.Figures figures = outcome.figures();
+    Page page = new Page("Replay of " + manifest.get("trace"));
+    page.verdict(outcome.rulesKept(), outcome.rulesKept() ? "All six rules were kept." : "Rules were broken: "
+        + outcome.brokenRules());
+    page.table(List.of("service", "figure", "share of the score"), List.of(
+        List.of("whole run", three(figures.whole()), "40%"),
+        List.of("worst 10 s, from second " + figures.worstWindowFromS(), three(figures.worstWindow()), "30%"),
+        List.of("worst table type: " + figures.worstTypeName(), three(figures.worstType()), "20%"),
+        List.of("worst account: " + figures.worstAccountName(), three(figures.worstAccount()), "10%"),
+        List.of("score", three(figures.score()), "")));
+    page.heading("Service over time");
+    List<Charts.Line> service = new ArrayList<>();
+    service.add(new Charts.Line("service", outcome.serviceBySecond()));
+    page.chart(Charts.lines("benefit earned over benefit asked", "second of the run", "service", false, false, service));
+    page.heading("How scans ended");
+    Map<String, Map<Long, Double>> byEnd = new TreeMap<>();
+    ends.forEach((second, counts) -> counts.forEach((end, count) ->
+        byEnd.computeIfAbsent(end, e -> new TreeMap<>()).put(second, (double) count)));
+    page.chart(Charts.lines("scans by their end", "second of the run", "scans a second", false, false,
+        byEnd.entrySet().stream().map(entry -> new Charts.Line(entry.getKey(), entry.getValue())).toList()));
+    List<List<String>> rows = new ArrayList<>();
+    figures.ends().forEach((end, count) -> rows.add(List.of(end.name(), String.valueOf(count))));
+    page.table(List.of("end", "scans"), rows);
+    List<List<String>> types = new ArrayList<>();
+    outcome.serviceByType().forEach((type, value) -> types.add(List.of(type, three(value))));
+    page.table(List.of("table type", "service"), types);
+    page.heading("Times");
+    Map<Double, Double> latency = new TreeMap<>();
+    Map<Double, Double> lateness = new TreeMap<>();
+    for (double q = 1; q < 100; q += q < 90 ? 1 : 0.1) {
+      latency.put(q, outcome.latency().getValueAtPercentile(q) / 1000.0);
+      lateness.put(q, outcome.lateness().getValueAtPercentile(q) / 1000.0);
+    }
+    page.chart(Charts.lines("time to the answer, from when the scan was intended", "percentile", "ms", false, true,
+        List.of(new Charts.Line("answer", latency), new Charts.Line("sender late by", lateness))));
+    page.text("The sender never waits for answers. How late it was itself is in the chart and in report.json; a scan's time "
+        + "counts from when it was intended, so a late sender makes the figures worse, never better.");
+    if (!outcome.broken().isEmpty()) {
+      page.heading("Broken rules");
+      List<List<String>> broken = new ArrayList<>();
+      outcome.broken().forEach(one -> broken.add(List.of("rule " + one.rule(), one.what())));
+      page.table(List.of("rule", "what was seen"), broken);
+    }
+    page.heading("Manifest");
+    List<List<String>> facts = new ArrayList<>();
+    manifest.forEach((key, value) -> facts.add(List.of(key, String.valueOf(value))));
+    page.table(List.of("", ""), facts);
+    return page;
+  }
+
+  public static String three(double value) {
+    return String.format(java.util.Locale.ROOT, "%.3f", value);
+  }
+
+  /** The commit of a checkout, "" if there is none. */
+  public static String commit(Path home) {
+    try {
+      Process git = new ProcessBuilder("git", "-C", home.toString(), "rev-parse", "HEAD").redirectErrorStream(true).start();
+      try (BufferedReader out = git.inputReader()) {
+        String line = out.readLine();
+        return git.waitFor(2, TimeUnit.SECONDS) && git.exitValue() == 0 && line != null ? line : "";
+      }
+    } catch (IOException fault) {
+      return "";
+    } catch (InterruptedException fault) {
+      Thread.currentThread().interrupt();
+      return "";
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    scans.close();
+  }
+}
