The command line tried as its users meet it; a rate reached by counting, hottest depots kept

Need: results, messages and exit codes of every command, and two faults seen on trying: a shape to 60 a second gave 79, as a busy window has not its average share of the rows; a made trace had its hottest depot 43% too hot.

Change: scaling counts the rows first; made keys keep the depot of the key of their rank.

--- a/cli/src/main/java/tidebank/cli/TraceCommands.java
+++ b/cli/src/main/java/tidebank/cli/TraceCommands.java
@@ -341,7 +341,8 @@
 
   private static String join(Map<?, Double> values, String form) {
     List<String> texts = new ArrayList<>();
-    values.forEach((key, value) -> texts.add(String.format(Locale.ROOT, form, key, value)));
+    values.forEach((key, value) -> texts.add(String.format(Locale.ROOT, form,
+        key instanceof Double number && number == Math.rint(number) ? (Object) number.longValue() : key, value)));
     return String.join(", ", texts);
   }
 
--- a/lab/src/main/java/tidebank/lab/trace/shape/Shapes.java
+++ b/lab/src/main/java/tidebank/lab/trace/shape/Shapes.java
@@ -123,7 +123,15 @@
     if (!(perS > 0)) {
       throw new IllegalArgumentException("a rate wants to be above 0, found " + perS);
     }
-    double factor = perS / of.ratePerS();
+    // Counted, as a part of a bursty trace has not its share of the rows.
+    long rows = 0;
+    for (Iterator<TraceRow> all = of.open(); all.hasNext(); all.next()) {
+      rows++;
+    }
+    if (rows == 0) {
+      throw new IllegalArgumentException("no row is left to scale");
+    }
+    double factor = perS / (rows / (of.lengthUs() / 1e6));
     if (how == Scale.WARP) {
       return warp(of, 1 / factor);
     }
--- a/lab/src/main/java/tidebank/lab/trace/synth/Synthesis.java
+++ b/lab/src/main/java/tidebank/lab/trace/synth/Synthesis.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -29,6 +30,8 @@
 
   private final TraceStats stats = new TraceStats();
   private final Map<String, Like> likes = new TreeMap<>();
+  private final Map<String, Integer> depotOfKey = new HashMap<>();
+  private final Map<String, Long> seenOfKey = new HashMap<>();
   private final SplittableRandom sampling = new SplittableRandom(17);
   private Arrivals arrivals;
   private double zipf;
@@ -39,6 +42,10 @@
     Like like = likes.computeIfAbsent(row.tableType(), type -> new Like());
     like.work.recordValue(Math.min(3_600_000_000L, row.workUs()));
     like.seen++;
+    if (!row.key().isEmpty()) {
+      seenOfKey.merge(row.key(), 1L, Long::sum);
+      depotOfKey.putIfAbsent(row.key(), row.depot());
+    }
     if (like.parts.size() < SAMPLE) {
       like.parts.add(new int[] {row.parts()});
       like.weights.add(row.weight());
@@ -79,8 +86,13 @@
     Choice<Integer> depots = new Choice<>(stats.depotCounts());
     Choice<String> types = new Choice<>(stats.typeCounts());
     Choice<String> accounts = new Choice<>(stats.accountCounts());
-    // What a key is about does not change from row to row.
+    // What a key is about does not change from row to row, and the hottest keys make the hottest depots.
     Map<Integer, Integer> depotOf = new HashMap<>();
+    List<String> byRank = new ArrayList<>(seenOfKey.keySet());
+    byRank.sort(Comparator.<String>comparingLong(key -> -seenOfKey.get(key)).thenComparing(key -> key));
+    for (int rank = 0; rank < byRank.size(); rank++) {
+      depotOf.put(rank, depotOfKey.get(byRank.get(rank)));
+    }
     return new Iterator<>() {
       private int second;
       private long[] times = {};
