Rows of one instant keep their order by content where the window had let one go

A row as old as the last one that had left the window counted as in time and came behind it, so the order of the source showed in the normal form.

Change: at that instant the order by content decides; an older row goes through the sort on disk.

--- a/lab/src/main/java/tidebank/lab/trace/order/Window.java
+++ b/lab/src/main/java/tidebank/lab/trace/order/Window.java
@@ -15,6 +15,7 @@
   private final Sink inOrder;
   private final Sink stragglers;
   private final PriorityQueue<Item> held = new PriorityQueue<>(Item.ORDER);
+  private Item last;
 
   public Window(int most, Lateness lateness, Sink inOrder, Sink stragglers) {
     this.most = most;
@@ -26,6 +27,10 @@
   /** Takes a row; says what became of it. A rejected one is the caller's to account for. */
   public Lateness.Way take(Item item) throws IOException {
     Lateness.Way way = lateness.of(item.row().timeUs());
+    // At the instant of the last row let go, the order by content decides: else it would be the source's.
+    if (way == Lateness.Way.IN_TIME && last != null && Item.ORDER.compare(item, last) < 0) {
+      way = Lateness.Way.SORTED_ON_DISK;
+    }
     switch (way) {
       case IN_TIME -> {
         held.add(item);
@@ -41,6 +46,7 @@
 
   private void release() throws IOException {
     Item least = held.poll();
+    last = least;
     lateness.handsOn(least.row().timeUs());
     inOrder.take(least);
   }
