Leftovers of the first text out of the TOML reader and the importer

Need: a re-read found an unused parameter and a second name for one tally.

Change: both are gone, nothing else.

--- a/gatherer/src/main/java/tidebank/config/Toml.java
+++ b/gatherer/src/main/java/tidebank/config/Toml.java
@@ -51,7 +51,7 @@
       throw new Malformed(name + ": no TOML: " + fault.getMessage());
     }
     index(text);
-    root = new Table("", tree, 1);
+    root = new Table("", tree);
   }
 
   public static Toml read(Path file) throws Malformed {
@@ -178,7 +178,7 @@
     private final Set<String> known = new LinkedHashSet<>();
     private boolean anyKey;
 
-    private Table(String path, JsonNode node, int depth) {
+    private Table(String path, JsonNode node) {
       this.path = path;
       this.node = node;
       opened.add(this);
@@ -286,7 +286,7 @@
       if (!value.isMissingNode() && !value.isObject()) {
         fault(key, "found " + value + ", wanted a table");
       }
-      return new Table(full(key), value, 0);
+      return new Table(full(key), value);
     }
 
     /** The tables of an array such as {@code [[row]]}. */
@@ -297,7 +297,7 @@
         fault(key, "found " + value + ", wanted tables [[" + full(key) + "]]");
       }
       for (int i = 0; value.isArray() && i < value.size(); i++) {
-        tables.add(new Table(full(key) + "[" + i + "]", value.get(i), 0));
+        tables.add(new Table(full(key) + "[" + i + "]", value.get(i)));
       }
       return tables;
     }
--- a/lab/src/main/java/tidebank/lab/trace/read/Importer.java
+++ b/lab/src/main/java/tidebank/lab/trace/read/Importer.java
@@ -100,7 +100,6 @@
 
   /** Stragglers into the first file's rows; what is one event told twice shows only now. */
   private static TraceMeta merge(Path first, SpillSort spill, Path to, TraceMeta meta, Tally tally) throws IOException {
-    Tally all = tally;
     try (TraceFile.Reader inOrder = new TraceFile.Reader(first);
         TraceFile.Writer writer = new TraceFile.Writer(to, meta)) {
       long origin = inOrder.meta().originUs();
@@ -129,13 +128,13 @@
       }
       // Stragglers were counted in, but not out: they are now, or were told twice.
       for (long row = 0; row < spill.rows() - twice; row++) {
-        all.out();
+        tally.out();
       }
       for (long row = 0; row < twice; row++) {
-        all.reject("duplicate");
+        tally.reject("duplicate");
       }
-      all.check();
-      writer.meta(told(meta, all, spill.rows()));
+      tally.check();
+      writer.meta(told(meta, tally, spill.rows()));
       return writer.finish();
     }
   }
