The demo plays five seconds, so that it ends within fifteen on a slow machine too

Need: the demo is to take no more than 15 s; on this slow machine it took 14.6 s with six seconds of scans, most of it the start and the end of its processes.

Change: five seconds of scans.

--- a/cli/src/main/java/tidebank/cli/Demo.java
+++ b/cli/src/main/java/tidebank/cli/Demo.java
@@ -24,7 +24,7 @@
     mixinStandardHelpOptions = true)
 final class Demo implements Callable<Integer> {
   private static final long SECOND_US = 1_000_000;
-  private static final int SECONDS = 6;
+  private static final int SECONDS = 5;
   private static final int PER_S = 80;
 
   @Spec CommandSpec spec;
