Audit catches dropped connections; rows leave the sender's loop; capture memory bounded

The audit let a gatherer off that ended a connection under a scan it had begun; the replay wrote its Parquet rows on the sender's own event loop; the capture's ring was bounded by turns only; its budget figures stood in the recorder; a JSON log had one line that was no JSON; which gatherer a try goes to was decided in network code; two merges and three maps of the same keys.

Change: a scan whose connection ends after a part of it was seen at a server breaks rule 1; rows go through a bounded queue to a thread of their own, and the report says how many were not kept; the ring is bounded by events and actions too, and closing it keeps to the stop's own time; figures moved to Keeping, the choice to ClientRules; one Merge, keys counted once.

--- a/gatherer/src/main/java/tidebank/base/Log.java
+++ b/gatherer/src/main/java/tidebank/base/Log.java
@@ -59,7 +59,7 @@
     ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
     appender.setContext(context);
     appender.setTarget("System.err");
-    Bound bound = new Bound(style.linesASecond());
+    Bound bound = new Bound(style.linesASecond(), style.form());
     bound.start();
     appender.addFilter(bound);
     Encoder<ILoggingEvent> encoder = encoder(style.form());
@@ -122,12 +122,14 @@
   /** Lets so many lines a second through; how many it did not is said with the next that goes. */
   private static final class Bound extends Filter<ILoggingEvent> {
     private final int most;
+    private final Form form;
     private long second;
     private int lines;
     private long left;
 
-    Bound(int most) {
+    Bound(int most, Form form) {
       this.most = most;
+      this.form = form;
     }
 
     /** Netty may log from a thread of its own, hence synchronized. */
@@ -138,7 +140,10 @@
         second = now;
         lines = 0;
         if (left > 0) {
-          System.err.println(Instant.ofEpochMilli(event.getTimeStamp()) + " WARN " + left + " log lines left out");
+          String text = left + " log lines left out";
+          System.err.println(form == Form.JSON
+              ? "{\"timestamp\":" + event.getTimeStamp() + ",\"level\":\"WARN\",\"message\":\"" + text + "\"}"
+              : Instant.ofEpochMilli(event.getTimeStamp()) + " WARN " + text);
           left = 0;
         }
       }
--- a/gatherer/src/main/java/tidebank/capture/Keeping.java
+++ b/gatherer/src/main/java/tidebank/capture/Keeping.java
@@ -20,11 +20,18 @@
    * @param segmentUs or past this age
    * @param budgetBytes all segments together stay below this, the open one counted with its full size
    */
-  record Bounds(int blockBytes, long blockUs, long segmentBytes, long segmentUs, long budgetBytes) {}
+  record Bounds(int blockBytes, long blockUs, long segmentBytes, long segmentUs, long budgetBytes) {
+    /** A block of 128 KB or half a second, a segment of ten minutes: what a kill may cost, and what one file holds. */
+    static Bounds of(long segmentBytes, long budgetBytes) {
+      return new Bounds(128 << 10, 500_000, segmentBytes, 600_000_000, budgetBytes);
+    }
+  }
 
   /** First wait after a failure; doubled each time up to the most. */
   private static final long RETRY_FIRST_US = 1_000_000;
   private static final long RETRY_MOST_US = 60_000_000;
+  /** Events and actions that may wait for each turn that may: a stalled disk must not fill the heap with large turns. */
+  private static final int A_TURN = 32;
 
   private final Bounds bounds;
   private long retryAt = Long.MIN_VALUE;
@@ -34,6 +41,11 @@
     this.bounds = bounds;
   }
 
+  /** Whether a turn of so many events and actions may wait beside so many, in a ring of so many turns. */
+  static boolean mayWait(long waiting, int more, int ringTurns) {
+    return waiting == 0 || waiting + more <= (long) A_TURN * ringTurns;
+  }
+
   boolean blockIsDue(int bytes, long firstAt, long now) {
     return bytes >= bounds.blockBytes() || bytes > 0 && now - firstAt >= bounds.blockUs();
   }
--- a/gatherer/src/main/java/tidebank/capture/Recorder.java
+++ b/gatherer/src/main/java/tidebank/capture/Recorder.java
@@ -36,12 +36,10 @@
       Path folder, boolean wholeActions, int ringTurns, long segmentBytes, long budgetBytes, boolean force) {}
 
   private static final Logger LOG = LoggerFactory.getLogger(Recorder.class);
-  private static final int BLOCK_BYTES = 128 << 10;
-  private static final long BLOCK_US = 500_000;
-  private static final long SEGMENT_US = 600_000_000;
+  private static final long POLL_MS = 50;
   private static final long LAST_MS = 1500;
 
-  private record Waiting(Entry entry, List<Action> actions) {}
+  private record Waiting(Entry entry, List<Action> actions, int weight) {}
 
   private final Plan plan;
   private final LongSupplier clock;
@@ -49,6 +47,7 @@
   private final BlockingQueue<Waiting> ring;
   private final Thread thread;
   private final AtomicLong lost = new AtomicLong();
+  private final AtomicLong waiting = new AtomicLong();
   private long missed;
   private volatile boolean closing;
 
@@ -64,7 +63,7 @@
   public Recorder(Plan plan, LongSupplier clock) throws IOException {
     this.plan = plan;
     this.clock = clock;
-    keeping = new Keeping(new Keeping.Bounds(BLOCK_BYTES, BLOCK_US, plan.segmentBytes(), SEGMENT_US, plan.budgetBytes()));
+    keeping = new Keeping(Keeping.Bounds.of(plan.segmentBytes(), plan.budgetBytes()));
     ring = new ArrayBlockingQueue<>(plan.ringTurns());
     Files.createDirectories(plan.folder());
     for (Path old : Segments.in(plan.folder())) {
@@ -77,26 +76,29 @@
 
   @Override
   public void started(Settings settings, long seed) {
-    put(new Waiting(new Entry.Started(settings, seed), null));
+    put(new Waiting(new Entry.Started(settings, seed), null, 1));
   }
 
   @Override
   public void turn(long nowUs, List<Event> events, List<Action> actions) {
-    put(new Waiting(new Entry.Turn(nowUs, events, 0, null), actions));
+    put(new Waiting(new Entry.Turn(nowUs, events, 0, null), actions, events.size() + actions.size()));
   }
 
   @Override
   public void failed(long nowUs, List<Event> events, Throwable cause) {
-    put(new Waiting(new Entry.Failed(nowUs, events, String.valueOf(cause)), null));
+    put(new Waiting(new Entry.Failed(nowUs, events, String.valueOf(cause)), null, events.size()));
   }
 
   private void put(Waiting one) {
-    if (missed > 0 && ring.offer(new Waiting(new Entry.Gap(missed), null))) {
+    boolean room = Keeping.mayWait(waiting.get(), one.weight, plan.ringTurns());
+    if (room && missed > 0 && ring.offer(new Waiting(new Entry.Gap(missed), null, 0))) {
       missed = 0;
     }
-    if (missed > 0 || !ring.offer(one)) {
+    if (!room || missed > 0 || !ring.offer(one)) {
       missed++;
       lost.incrementAndGet();
+    } else {
+      waiting.addAndGet(one.weight);
     }
   }
 
@@ -108,8 +110,9 @@
   private void run() {
     try {
       while (true) {
-        Waiting one = ring.poll(BLOCK_US / 5, TimeUnit.MICROSECONDS);
+        Waiting one = ring.poll(POLL_MS, TimeUnit.MILLISECONDS);
         if (one != null) {
+          waiting.addAndGet(-one.weight);
           add(one);
         }
         long now = clock.getAsLong();
@@ -223,9 +226,14 @@
   /** Writes what waits, within a bounded time. */
   @Override
   public void close() {
+    close(LAST_MS);
+  }
+
+  /** The same within this many milliseconds; a disk slower than that leaves a torn tail, which the reader tells. */
+  public void close(long mostMs) {
     closing = true;
     try {
-      thread.join(LAST_MS);
+      thread.join(Math.max(1, mostMs));
     } catch (InterruptedException fault) {
       Thread.currentThread().interrupt();
     }
--- a/gatherer/src/main/java/tidebank/node/Gatherer.java
+++ b/gatherer/src/main/java/tidebank/node/Gatherer.java
@@ -56,6 +56,7 @@
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private InetSocketAddress address;
   private boolean stopping;
+  private volatile long endBy;
   private boolean closed;
 
   private Gatherer(NodeConfig config, OperatorFile own) {
@@ -170,7 +171,8 @@
         LOG.info("stopping");
         clients.drain();
         long now = clock.now();
-        turn.ending(now + config.transport().stopWithinUs());
+        endBy = now + config.transport().stopWithinUs();
+        turn.ending(endBy);
         alarms.set(Alarms.alarm(this::noMoreRequests), now + config.transport().takeOnUs());
       }
     });
@@ -213,7 +215,8 @@
     LOG.info("stopped: " + counters);
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> {
       if (recorder != null) {
-        recorder.close();
+        // The process ends by the time it promised, whatever the disk does.
+        recorder.close((endBy - clock.now()) / 1000);
       }
       stopped.complete(null);
     });
--- a/lab/src/main/java/tidebank/lab/account/RuleAudit.java
+++ b/lab/src/main/java/tidebank/lab/account/RuleAudit.java
@@ -39,7 +39,10 @@
     ANSWERED,
     THROTTLED,
     FAILED,
+    /** The client left before it had asked in full. */
     NONE_AND_CLIENT_LEFT,
+    /** The gatherer ended the connection. Lost if it had begun on the scan; else the end may have crossed the request. */
+    CONNECTION_ENDED,
     NONE
   }
 
@@ -107,6 +110,7 @@
       for (int i = 0; i <= weights.size(); i++) {
         times.add(atUs);
       }
+      within(times, atUs);
     }
   }
 
@@ -200,7 +204,7 @@
     if (held == null) {
       return;
     }
-    if (reply == Reply.NONE_AND_CLIENT_LEFT) {
+    if (reply == Reply.NONE_AND_CLIENT_LEFT || reply == Reply.CONNECTION_ENDED) {
       held.reply = reply;
       held.answeredUs = atUs;
       return;
@@ -253,8 +257,10 @@
 
   private void judge(String id, Held held) {
     boolean answered = held.reply == Reply.ANSWERED || held.reply == Reply.THROTTLED || held.reply == Reply.FAILED;
-    if (!answered && !held.gathererDied && held.reply != Reply.NONE_AND_CLIENT_LEFT) {
-      breaks(1, held.limitUs, "scan " + id + " never got a final answer");
+    boolean taken = held.reply == Reply.NONE || held.reply == Reply.CONNECTION_ENDED && !held.sent.isEmpty();
+    if (!answered && !held.gathererDied && taken) {
+      breaks(1, held.limitUs, "scan " + id + (held.reply == Reply.NONE ? " never got a final answer"
+          : " lost its connection though parts of it had been sent"));
     }
     for (Map.Entry<Integer, List<Sent>> entry : held.sent.entrySet()) {
       List<Sent> sent = entry.getValue();
--- a/lab/src/main/java/tidebank/lab/replay/ClientRules.java
+++ b/lab/src/main/java/tidebank/lab/replay/ClientRules.java
@@ -33,6 +33,28 @@
     this.seed = seed;
   }
 
+  /**
+   * Which gatherer a try goes to: those that are admitted in turn; if none is, all in turn, as a front that knows no better.
+   *
+   * @param turn counts tries
+   * @param admitted whether each gatherer is
+   */
+  static int gatherer(long turn, boolean[] admitted) {
+    int count = 0;
+    for (boolean one : admitted) {
+      count += one ? 1 : 0;
+    }
+    if (count == 0) {
+      return (int) (turn % admitted.length);
+    }
+    long skip = turn % count;
+    for (int i = 0;; i++) {
+      if (admitted[i] && skip-- == 0) {
+        return i;
+      }
+    }
+  }
+
   /** Whether trying again can do no harm: proved never to have run, or may run again. */
   static boolean harmless(Repeat repeat, Came came) {
     return switch (came) {
--- a/lab/src/main/java/tidebank/lab/replay/Clients.java
+++ b/lab/src/main/java/tidebank/lab/replay/Clients.java
@@ -146,7 +146,7 @@
   private long startUs;
   private long held;
   private long sent;
-  private int turn;
+  private long turn;
 
   Clients(Site site, List<Target> targets, ClientRules rules, RuleAudit audit, Clock clock, EventLoop loop,
       String seedText, Consumer<ScanRecord> to) {
@@ -238,13 +238,11 @@
   }
 
   private Target target() {
-    for (int i = 0; i < targets.size(); i++) {
-      Target one = targets.get(turn++ % targets.size());
-      if (one.admitted) {
-        return one;
-      }
+    boolean[] admitted = new boolean[targets.size()];
+    for (int i = 0; i < admitted.length; i++) {
+      admitted[i] = targets.get(i).admitted;
     }
-    return targets.get(turn++ % targets.size());
+    return targets.get(ClientRules.gatherer(turn++, admitted));
   }
 
   private void send(Scan scan) {
@@ -324,8 +322,11 @@
     long now = clock.now();
     if (one.channel != null && came != Came.ANSWERED && came != Came.THROTTLED && came != Came.FAILED) {
       // No answer: the client leaves; whether that was the gatherer's fault is the audit's to say.
-      audit.replied(one.id, now, came == Came.TIMED_OUT ? RuleAudit.Reply.NONE : RuleAudit.Reply.NONE_AND_CLIENT_LEFT,
-          Set.of(), 0, false);
+      audit.replied(one.id, now, switch (came) {
+        case TIMED_OUT -> RuleAudit.Reply.NONE;
+        case BROKEN_OFF -> RuleAudit.Reply.CONNECTION_ENDED;
+        default -> RuleAudit.Reply.NONE_AND_CLIENT_LEFT;
+      }, Set.of(), 0, false);
       one.channel.close();
     }
     Scan scan = one.scan;
--- a/lab/src/main/java/tidebank/lab/report/RunFolder.java
+++ b/lab/src/main/java/tidebank/lab/report/RunFolder.java
@@ -7,7 +7,6 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
@@ -17,7 +16,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import org.HdrHistogram.HistogramLogWriter;
@@ -30,11 +32,17 @@
 public final class RunFolder implements Closeable {
   private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
   private static final DateTimeFormatter NAME = DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss").withZone(ZoneOffset.UTC);
+  private static final int WAITING_MOST = 200_000;
   private static final double[] QUANTILES = {50, 90, 99, 99.9, 100};
 
   private final Path folder;
   private final Table scans;
   private final Map<Long, Map<String, Long>> ends = new TreeMap<>();
+  private final BlockingQueue<Optional<ScanRecord>> waiting = new ArrayBlockingQueue<>(WAITING_MOST);
+  private final Thread writer = new Thread(this::write, "rows of the run");
+  private volatile IOException fault;
+  private volatile long notKept;
+  private boolean closed;
 
   /** Makes a folder below another, named by the time and a word. */
   public static RunFolder create(Path runs, String word) throws IOException {
@@ -63,19 +71,42 @@
     columns.put("benefit", Double.class);
     columns.put("earned", Double.class);
     scans = new Table(folder.resolve("scans.parquet"), columns);
+    writer.setDaemon(true);
+    writer.start();
   }
 
   public Path folder() {
     return folder;
   }
 
-  /** A scan's end; from one thread. */
+  /**
+   * A scan's end. Written by a thread of its own: this is called on the sender's event loop, whose lateness is measured.
+   * A row that finds no room is not kept, and the report says how many were not; the account has them all.
+   */
   public void add(ScanRecord scan) {
+    if (!waiting.offer(Optional.of(scan))) {
+      notKept++;
+    }
+  }
+
+  private void write() {
+    try {
+      for (Optional<ScanRecord> next = waiting.take(); next.isPresent(); next = waiting.take()) {
+        if (fault == null) {
+          write(next.get());
+        }
+      }
+    } catch (InterruptedException ended) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void write(ScanRecord scan) {
     try {
       scans.add(scan.number(), scan.tableType(), scan.account(), scan.intendedUs(), scan.sentUs(), scan.endUs(),
           scan.end().name(), scan.share(), scan.whole(), scan.tries(), scan.benefit(), scan.earned());
-    } catch (IOException fault) {
-      throw new UncheckedIOException(fault);
+    } catch (IOException failed) {
+      fault = failed;
     }
     ends.computeIfAbsent(Math.floorDiv(scan.intendedUs(), 1_000_000), second -> new TreeMap<>())
         .merge(scan.end().name(), 1L, Long::sum);
@@ -83,8 +114,11 @@
 
   /** Writes all but the rows, which are there already. */
   public ObjectNode finish(Replay.Outcome outcome, Map<String, Object> manifest) throws IOException {
-    scans.close();
-    ObjectNode report = report(outcome);
+    close();
+    if (fault != null) {
+      throw fault;
+    }
+    ObjectNode report = report(outcome).put("rows_not_kept", notKept);
     Files.writeString(folder.resolve("manifest.json"), JSON.writeValueAsString(manifest));
     Files.writeString(folder.resolve("report.json"), JSON.writeValueAsString(report));
     try (PrintStream log = new PrintStream(Files.newOutputStream(folder.resolve("latency.hlog")))) {
@@ -204,8 +238,19 @@
     }
   }
 
+  /** Waits until all rows are written. */
   @Override
   public void close() throws IOException {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    try {
+      waiting.put(Optional.empty());
+      writer.join();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
     scans.close();
   }
 }
--- a/lab/src/main/java/tidebank/lab/trace/layout/Layouts.java
+++ b/lab/src/main/java/tidebank/lab/trace/layout/Layouts.java
@@ -30,6 +30,21 @@
     return ALL.stream().filter(layout -> layout.name().equals(name)).findFirst().orElse(null);
   }
 
+  /** A time of Google's traces, of which two are none. */
+  private static long googleTime(FixedLayout.Values values) throws Fault {
+    long time = values.whole("time");
+    if (time == 0) {
+      throw Fault.leaveOut("before-the-trace");
+    }
+    if (time == Long.MAX_VALUE) {
+      throw Fault.leaveOut("after-the-trace");
+    }
+    if (time < 0) {
+      throw Fault.reject("negative-time");
+    }
+    return time;
+  }
+
   /** Google ClusterData 2011, task_events: no header, microseconds, two times that are none. */
   private static final class Google2011 extends FixedLayout {
     private static final int SUBMIT = 0;
@@ -66,16 +81,7 @@
 
     @Override
     RawRow request(Values values) throws Fault {
-      long time = values.whole("time");
-      if (time == 0) {
-        throw Fault.leaveOut("before-the-trace");
-      }
-      if (time == Long.MAX_VALUE) {
-        throw Fault.leaveOut("after-the-trace");
-      }
-      if (time < 0) {
-        throw Fault.reject("negative-time");
-      }
+      long time = googleTime(values);
       if (values.number("event_type") != SUBMIT) {
         throw Fault.leaveOut("no-arrival");
       }
@@ -121,16 +127,7 @@
 
     @Override
     RawRow request(Values values) throws Fault {
-      long time = values.whole("time");
-      if (time == 0) {
-        throw Fault.leaveOut("before-the-trace");
-      }
-      if (time == Long.MAX_VALUE) {
-        throw Fault.leaveOut("after-the-trace");
-      }
-      if (time < 0) {
-        throw Fault.reject("negative-time");
-      }
+      long time = googleTime(values);
       String type = values.text("type").toUpperCase(Locale.ROOT);
       if (!type.equals("SUBMIT") && !type.equals("0")) {
         throw Fault.leaveOut("no-arrival");
--- a/lab/src/main/java/tidebank/lab/trace/order/SpillSort.java
+++ b/lab/src/main/java/tidebank/lab/trace/order/SpillSort.java
@@ -136,36 +136,7 @@
     for (Path file : files) {
       sources.add(new RunReader(file));
     }
-    return merged(sources);
-  }
-
-  /** Many streams that are in order as one. */
-  public static Iterator<Item> merged(List<Iterator<Item>> sources) {
-    record Head(Item item, Iterator<Item> from) {}
-    PriorityQueue<Head> heads = new PriorityQueue<>((a, b) -> Item.ORDER.compare(a.item, b.item));
-    for (Iterator<Item> source : sources) {
-      if (source.hasNext()) {
-        heads.add(new Head(source.next(), source));
-      }
-    }
-    return new Iterator<>() {
-      @Override
-      public boolean hasNext() {
-        return !heads.isEmpty();
-      }
-
-      @Override
-      public Item next() {
-        Head head = heads.poll();
-        if (head == null) {
-          throw new NoSuchElementException();
-        }
-        if (head.from.hasNext()) {
-          heads.add(new Head(head.from.next(), head.from));
-        }
-        return head.item;
-      }
-    };
+    return Merge.of(sources, Item.ORDER);
   }
 
   private static void write(DataOutputStream out, Item item) throws IOException {
--- a/lab/src/main/java/tidebank/lab/trace/read/Importer.java
+++ b/lab/src/main/java/tidebank/lab/trace/read/Importer.java
@@ -16,6 +16,7 @@
 import tidebank.lab.trace.mapping.Mapping;
 import tidebank.lab.trace.order.Item;
 import tidebank.lab.trace.order.Lateness;
+import tidebank.lab.trace.order.Merge;
 import tidebank.lab.trace.order.Once;
 import tidebank.lab.trace.order.SpillSort;
 import tidebank.lab.trace.order.Unwrap;
@@ -117,7 +118,7 @@
       };
       Once once = new Once();
       long twice = 0;
-      Iterator<Item> merged = SpillSort.merged(List.of(absolute, spill.sorted()));
+      Iterator<Item> merged = Merge.of(List.of(absolute, spill.sorted()), Item.ORDER);
       while (merged.hasNext()) {
         Item item = merged.next();
         if (once.first(item)) {
--- a/lab/src/main/java/tidebank/lab/trace/shape/Rows.java
+++ b/lab/src/main/java/tidebank/lab/trace/shape/Rows.java
@@ -3,11 +3,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
-import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
 import java.util.NoSuchElementException;
-import java.util.PriorityQueue;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import tidebank.lab.trace.TraceRow;
@@ -157,36 +155,6 @@
     };
   }
 
-  /** Streams that are in order, as one. */
-  static Iterator<TraceRow> merged(List<Iterator<TraceRow>> sources) {
-    record Head(TraceRow row, int from) {}
-    PriorityQueue<Head> heads =
-        new PriorityQueue<>(Comparator.comparing(Head::row, TraceRow.ORDER).thenComparingInt(Head::from));
-    for (int i = 0; i < sources.size(); i++) {
-      if (sources.get(i).hasNext()) {
-        heads.add(new Head(sources.get(i).next(), i));
-      }
-    }
-    return new Iterator<>() {
-      @Override
-      public boolean hasNext() {
-        return !heads.isEmpty();
-      }
-
-      @Override
-      public TraceRow next() {
-        Head head = heads.poll();
-        if (head == null) {
-          throw new NoSuchElementException();
-        }
-        if (sources.get(head.from).hasNext()) {
-          heads.add(new Head(sources.get(head.from).next(), head.from));
-        }
-        return head.row;
-      }
-    };
-  }
-
   /** One stream after another; the next is opened when the one before has ended. */
   static Iterator<TraceRow> chained(int count, Function<Integer, Iterator<TraceRow>> opened) {
     return new Iterator<>() {
--- a/lab/src/main/java/tidebank/lab/trace/shape/Shapes.java
+++ b/lab/src/main/java/tidebank/lab/trace/shape/Shapes.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.zip.CRC32;
 import tidebank.lab.trace.TraceRow;
+import tidebank.lab.trace.order.Merge;
 
 /**
  * Shapes of traces. What each keeps: a time warp keeps counts, burstiness by count and keys, and stretches time;
@@ -99,7 +100,7 @@
     return Rows.made(length, count, (a, b) -> {
       List<Iterator<TraceRow>> opened = new ArrayList<>();
       all.forEach(rows -> opened.add(rows.open(a, b)));
-      return Rows.merged(opened);
+      return Merge.of(opened, TraceRow.ORDER);
     });
   }
 
--- a/lab/src/main/java/tidebank/lab/trace/stats/TraceStats.java
+++ b/lab/src/main/java/tidebank/lab/trace/stats/TraceStats.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -85,6 +86,13 @@
     return sorted;
   }
 
+  /** The keys themselves in that order. */
+  public List<String> keysByRank() {
+    List<String> ranked = new ArrayList<>(keys.keySet());
+    ranked.sort(Comparator.<String>comparingLong(key -> -keys.get(key)).thenComparing(key -> key));
+    return ranked;
+  }
+
   public Map<Integer, Long> depotCounts() {
     return depots;
   }
--- a/lab/src/main/java/tidebank/lab/trace/synth/Synthesis.java
+++ b/lab/src/main/java/tidebank/lab/trace/synth/Synthesis.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -31,7 +30,6 @@
   private final TraceStats stats = new TraceStats();
   private final Map<String, Like> likes = new TreeMap<>();
   private final Map<String, Integer> depotOfKey = new HashMap<>();
-  private final Map<String, Long> seenOfKey = new HashMap<>();
   private final SplittableRandom sampling = new SplittableRandom(17);
   private Arrivals arrivals;
   private double zipf;
@@ -43,7 +41,6 @@
     like.work.recordValue(Math.min(3_600_000_000L, row.workUs()));
     like.seen++;
     if (!row.key().isEmpty()) {
-      seenOfKey.merge(row.key(), 1L, Long::sum);
       depotOfKey.putIfAbsent(row.key(), row.depot());
     }
     if (like.parts.size() < SAMPLE) {
@@ -88,8 +85,7 @@
     Choice<String> accounts = new Choice<>(stats.accountCounts());
     // What a key is about does not change from row to row, and the hottest keys make the hottest depots.
     Map<Integer, Integer> depotOf = new HashMap<>();
-    List<String> byRank = new ArrayList<>(seenOfKey.keySet());
-    byRank.sort(Comparator.<String>comparingLong(key -> -seenOfKey.get(key)).thenComparing(key -> key));
+    List<String> byRank = stats.keysByRank();
     for (int rank = 0; rank < byRank.size(); rank++) {
       depotOf.put(rank, depotOfKey.get(byRank.get(rank)));
     }
--- a/lab/src/test/java/tidebank/lab/AccountTest.java
+++ b/lab/src/test/java/tidebank/lab/AccountTest.java
@@ -117,6 +117,26 @@
     assertThat(broken()).isEmpty();
   }
 
+  @Test
+  void rule1AConnectionEndedUnderAScanThatWasBegunLosesIt() {
+    sent("begun", Repeat.REPLAYABLE, 1, 1);
+    audit.dispatched("begun", 0, 0, 1, 1000, Run.RAN);
+    audit.replied("begun", 2000, Reply.CONNECTION_ENDED, Set.of(), 0, false);
+    sent("crossed", Repeat.REPLAYABLE, 1, 1);
+    audit.replied("crossed", 2000, Reply.CONNECTION_ENDED, Set.of(), 0, false);
+    assertThat(broken()).containsExactly(1);
+    assertThat(audit.counts()).containsEntry(1, 1L);
+  }
+
+  @Test
+  void whatAKilledGathererHadBegunIsNoLossEither() {
+    sent("begun", Repeat.REPLAYABLE, 1, 1);
+    audit.dispatched("begun", 0, 0, 1, 1000, Run.RAN);
+    audit.replied("begun", 2000, Reply.CONNECTION_ENDED, Set.of(), 0, false);
+    audit.ended(0);
+    assertThat(broken()).isEmpty();
+  }
+
   @Test
   void rule2ADuplicatedEffectAndAThrottlingThatPromisesTooMuch() {
     sent("twice", Repeat.NON_REPLAYABLE, 1, 1);
