--- a/gatherer/src/main/java/tidebank/capture/Recorder.java
+++ b/gatherer/src/main/java/tidebank/capture/Recorder.java
@@ -48,7 +48,8 @@
   private final Thread thread;
   private final AtomicLong lost = new AtomicLong();
   private final AtomicLong waiting = new AtomicLong();
-  private long missed;
+  /** Turns that found no room since the last gap was put into the ring; the last ones are said at the end. */
+  private final AtomicLong missed = new AtomicLong();
   private volatile boolean closing;
 
   private Codec.Encoder block = new Codec.Encoder();
@@ -91,11 +92,11 @@
 
   private void put(Waiting one) {
     boolean room = Keeping.mayWait(waiting.get(), one.weight, plan.ringTurns());
-    if (room && missed > 0 && ring.offer(new Waiting(new Entry.Gap(missed), null, 0))) {
-      missed = 0;
+    if (room && missed.get() > 0 && ring.offer(new Waiting(new Entry.Gap(missed.get()), null, 0))) {
+      missed.set(0);
     }
-    if (!room || missed > 0 || !ring.offer(one)) {
-      missed++;
+    if (!room || missed.get() > 0 || !ring.offer(one)) {
+      missed.incrementAndGet();
       lost.incrementAndGet();
     } else {
       waiting.addAndGet(one.weight);
@@ -107,6 +108,11 @@
     return lost.get();
   }
 
+  /** Events and actions that wait for the writer. */
+  public long waiting() {
+    return waiting.get();
+  }
+
   private void run() {
     try {
       while (true) {
@@ -116,6 +122,9 @@
           add(one);
         }
         long now = clock.getAsLong();
+        if (closing && ring.isEmpty() && missed.get() > 0) {
+          block.add(new Entry.Gap(missed.getAndSet(0)));
+        }
         if (keeping.blockIsDue(block.length(), blockFrom, now) || closing && ring.isEmpty()) {
           flush(now);
         }
--- a/gatherer/src/test/java/tidebank/CaptureTest.java
+++ b/gatherer/src/test/java/tidebank/CaptureTest.java
@@ -131,20 +131,41 @@
     long lost = recorder.lost();
     assertThat(lost).isBetween(82L, 84L);
     go.countDown();
-    while (read().isEmpty()) {
-      clock.addAndGet(600_000);
+    while (recorder.waiting() > 0) {
       Thread.onSpinWait();
-      recorder.turn(clock.get(), List.of(), List.of());
     }
+    recorder.turn(clock.addAndGet(1000), List.of(), List.of());
     recorder.close();
-    long missing = 0;
-    long turns = 0;
-    for (Entry entry : read()) {
-      missing += entry instanceof Entry.Gap gap ? gap.turns() : 0;
-      turns += entry instanceof Entry.Turn turn && !turn.events().isEmpty() ? 1 : 0;
+    assertThat(turns()).isEqualTo(100 - lost + 1);
+    assertThat(missing()).isEqualTo(lost);
+    assertThat(((Entry.Turn) read().get(read().size() - 1)).events()).isEmpty();
+  }
+
+  @Test
+  void whatFoundNoRoomAtTheVeryEndIsSaidToo() throws IOException {
+    java.util.concurrent.CountDownLatch go = new java.util.concurrent.CountDownLatch(1);
+    Recorder recorder = new Recorder(plan(16, 1 << 20, 10 << 20), () -> {
+      try {
+        go.await();
+      } catch (InterruptedException fault) {
+        Thread.currentThread().interrupt();
+      }
+      return clock.get();
+    });
+    for (int i = 0; i < 40; i++) {
+      recorder.turn(clock.addAndGet(1000), everyEvent(i), everyAction(i));
     }
-    assertThat(turns).isEqualTo(100 - lost);
-    assertThat(missing).isGreaterThanOrEqualTo(lost);
+    go.countDown();
+    recorder.close();
+    assertThat(missing()).isPositive().isEqualTo(recorder.lost()).isEqualTo(40 - turns());
+  }
+
+  private long turns() throws IOException {
+    return read().stream().filter(Entry.Turn.class::isInstance).count();
+  }
+
+  private long missing() throws IOException {
+    return read().stream().mapToLong(entry -> entry instanceof Entry.Gap gap ? gap.turns() : 0).sum();
   }
 
   @Test
