--- a/gatherer/src/main/java/tidebank/Brain.java
+++ b/gatherer/src/main/java/tidebank/Brain.java
@@ -143,7 +143,7 @@
         close(scan, Verdict.LEFT);
       }
     } else if (event instanceof Event.TimerDue due && due.token() == timers) {
-      lagged(now - armedAt);
+      lag = Math.max(lag, now - armedAt);
       armedAt = Long.MAX_VALUE;
     } else if (event instanceof Event.Ending ending) {
       endAt = ending.at();
@@ -172,7 +172,8 @@
   }
 
   private void takeScan(Event.ScanTaken event) {
-    lagged(now - event.askedAt());
+    long late = now - event.askedAt();
+    lag = Math.max(late, lag + (late - lag) * LEARN_FAST);
     long left = event.limitAt() - now;
     TableType type = settings.tableTypes().getOrDefault(event.type(),
         new TableType(event.type(), Repeat.NON_REPLAYABLE, 0, left, left, 0, 1, 1, 0));
@@ -184,10 +185,6 @@
     taken.add(now, settings.rules().ratioSpanUs());
   }
 
-  private void lagged(long late) {
-    lag = Math.max(late, lag + (late - lag) * LEARN_FAST);
-  }
-
   /** How long before its time an answer is given, so that its last byte is out by then. */
   private long early() {
     return margin + Math.round(lag);
