Gatherers start from an archive of the classes that serving loads, made by the build

Measured by itself: a start to 'serving' takes 890 to 990 ms of processor time, 430 to 470 with the archive (three starts each); at half a core that is the second that is missing. Ruled out: page touching (in both), the list (the known one is used). At fault: run, which reads, checks and links 2,000 classes a hundred times.

Change: bin/tidebank archive serves a second of scans on loopback with -XX:ArchiveClassesAtExit; build runs it, run names the file. Without the file, or with another's, the JVM starts as before; a failing archive does not fail the build.

--- a/cli/src/main/java/tidebank/cli/Demo.java
+++ b/cli/src/main/java/tidebank/cli/Demo.java
@@ -51,16 +51,16 @@
       out.println("second 1: server 3 drains and goes; second 2: server 5 dies, and is back cold in second 4.");
       out.flush();
     }
-    List<TraceRow> rows = rows();
+    List<TraceRow> rows = rows(seed, SECONDS);
     return Playing.play(new Replay.Plan(Site.standard(), 2, 8, seed, incidents), rows.iterator(), rows.size(), "demo",
         runs, json, false, out);
   }
 
-  private List<TraceRow> rows() {
+  static List<TraceRow> rows(long seed, int seconds) {
     SplittableRandom chance = new SplittableRandom(seed);
     List<TraceRow> rows = new ArrayList<>();
     double at = 0;
-    while ((at += -Math.log(1 - chance.nextDouble()) / PER_S) < SECONDS) {
+    while ((at += -Math.log(1 - chance.nextDouble()) / PER_S) < seconds) {
       double kind = chance.nextDouble();
       String type = kind < 0.4 ? "network-trace" : kind < 0.8 ? "depot-manifest" : "delivery-confirm";
       int parts = type.equals("network-trace") ? 12 : type.equals("depot-manifest") ? 3 : 1;
--- a/cli/src/main/java/tidebank/cli/Tidebank.java
+++ b/cli/src/main/java/tidebank/cli/Tidebank.java
@@ -22,7 +22,7 @@
     synopsisSubcommandLabel = "COMMAND",
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:done", "1:failed", "2:wrong arguments or configuration"},
-    subcommands = {Serve.class, Serve.WireHost.class, Demo.class, TraceCommands.class, CaptureCommands.class,
+    subcommands = {Serve.class, Serve.WireHost.class, Demo.class, Archive.class, TraceCommands.class, CaptureCommands.class,
         GenerateCompletion.class})
 public final class Tidebank implements Callable<Integer> {
   static final int DONE = 0;
--- a/cli/src/test/java/tidebank/cli/TidebankTest.java
+++ b/cli/src/test/java/tidebank/cli/TidebankTest.java
@@ -140,4 +140,23 @@
     assertThat(run("trace", "compare", folders.get(0), folder.toString())).isEqualTo(1);
     assertThat(run("trace", "replay", file, "--incident", "1:server-dances:2")).isEqualTo(2);
   }
+
+  @Test
+  void theArchiveSparesAGathererTheReadingOfItsClasses() throws Exception {
+    Path jar = Path.of("../gatherer/target/tidebank.jar");
+    Path archive = folder.resolve("tidebank.jsa");
+    String home = System.setProperty("tidebank.home", "..");
+    try {
+      assertThat(run("archive", "-o", archive.toString())).as(err.toString()).isZero();
+    } finally {
+      System.setProperty("tidebank.home", home == null ? "" : home);
+    }
+    Process start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-XX:+UseSerialGC", "-Xshare:on", "-XX:SharedArchiveFile=" + archive, "-Xlog:class+load", "-jar", jar.toString())
+        .redirectErrorStream(true).start();
+    String log = new String(start.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+    assertThat(start.waitFor()).as(log).isEqualTo(2);
+    assertThat(log.lines().filter(line -> line.contains("tidebank.Main source:")))
+        .singleElement().asString().contains("shared objects file (top)");
+  }
 }
--- a/lab/src/main/java/tidebank/lab/replay/GathererProcess.java
+++ b/lab/src/main/java/tidebank/lab/replay/GathererProcess.java
@@ -48,13 +48,13 @@
     this.shell = shell;
   }
 
-  /** Starts one with this configuration file's content, and an operator's own file or null. */
-  public static GathererProcess start(String name, String file, Path own) throws IOException {
+  /** Starts one with this configuration file's content, an operator's own file or null, and further flags of its JVM. */
+  public static GathererProcess start(String name, String file, Path own, List<String> jvm) throws IOException {
     Path config = Files.createTempFile("tidebank-" + name + "-", ".json");
     config.toFile().deleteOnExit();
     Files.writeString(config, file);
     List<String> command = new ArrayList<>(List.of("/bin/sh", "-c", GUARD, "sh"));
-    command.addAll(java());
+    command.addAll(java(jvm));
     if (own != null) {
       command.addAll(List.of("--config", own.toString()));
     }
@@ -69,10 +69,11 @@
   }
 
   /** The gatherer's lean jar where there is one, else the classes of this process. */
-  private static List<String> java() {
+  private static List<String> java(List<String> jvm) {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(FLAGS);
+    command.addAll(jvm);
     String home = System.getProperty("tidebank.home", "");
     File jar = new File(home, "gatherer/target/tidebank.jar");
     if (!home.isEmpty() && jar.isFile()) {
--- a/lab/src/main/java/tidebank/lab/replay/Replay.java
+++ b/lab/src/main/java/tidebank/lab/replay/Replay.java
@@ -56,15 +56,20 @@
    * @param seed of ids and chance
    * @param incidents what happens meanwhile
    * @param captures where each gatherer records what it is told, in a folder of its own; null for nowhere
+   * @param jvm what the gatherers' JVMs are told beside the deployment's flags
    */
   public record Plan(
-      Site site, int gatherers, int servers, long seed, List<Incident> incidents, Path captures) {
+      Site site, int gatherers, int servers, long seed, List<Incident> incidents, Path captures, List<String> jvm) {
     public Plan(Site site, int gatherers, int servers, long seed, List<Incident> incidents) {
-      this(site, gatherers, servers, seed, incidents, null);
+      this(site, gatherers, servers, seed, incidents, null, List.of());
     }
 
     public Plan capturing(Path folder) {
-      return new Plan(site, gatherers, servers, seed, incidents, folder);
+      return new Plan(site, gatherers, servers, seed, incidents, folder, jvm);
+    }
+
+    public Plan withJvmFlags(String... flags) {
+      return new Plan(site, gatherers, servers, seed, incidents, captures, List.of(flags));
     }
   }
 
@@ -203,7 +208,8 @@
     String seed = String.format("%016x", plan.seed() * 31 + number);
     InetSocketAddress from = discovery.address(number);
     GathererProcess process = GathererProcess.start("g" + number, plan.site().gathererFile("g" + number, listen,
-        "127.0.0.1:" + from.getPort(), seed, plan.gatherers(), plan.servers(), SOCKETS), own(number));
+        "127.0.0.1:" + from.getPort(), seed, plan.gatherers(), plan.servers(), SOCKETS), own(number),
+        plan.jvm());
     synchronized (processes) {
       processes.add(process);
       if (ending) {
