Watches go on from the known version; in a big fleet strain counts as load, refused parts go on

Ruled out: time-outs (half of the 503 came within 15 ms). At fault: DiscoverySide.follow set version = -1. Now a watch goes on from the version that is known, also from before a start; a whole list only where none is known or an answer did not fit. Its first call waits half as long, as the module takes a watch that says nothing for lost.

Unreached parts. At fault: Brain.pursue, where overload stops all further dispatches. A part that no server was reached for goes on; in a big fleet also one that was refused, as none of ours filled that server.

Own parts in flight are 0 or 1 at a shard whose cap is 24. Past T a shard is now taken to be loaded as strain says, where our share of a replica's cap would be under one part (more than 16 gatherers).

--- a/gatherer/src/main/java/tidebank/Brain.java
+++ b/gatherer/src/main/java/tidebank/Brain.java
@@ -67,7 +67,7 @@
   private final Window further = new Window();
   private final List<Action> actions = new ArrayList<>();
   private final long shortestTarget;
-  /** What a scan or a wake-up waited for our own processor of late, at the most: an answer waits so on its way. */
+  /** What a scan or a wake-up waited for our own processor of late: an answer waits so on its way out. */
   private double lag;
   private final long margin;
   private final long askLeast;
@@ -391,7 +391,8 @@
       giveUp(scan);
       return;
     }
-    if (scan.type.floor() >= scan.type.need() || ranked.stream().map(p -> shard(p.shard))
+    boolean calm = !sparse() || strain < OVERLOADED_SHARE * HALF;
+    if (scan.type.floor() >= scan.type.need() || calm && ranked.stream().map(p -> shard(p.shard))
         .noneMatch(shard -> shard.capPerReplica < CAP_START || now - shard.troubledAt < TROUBLE_US)) {
       return;
     }
@@ -409,6 +410,9 @@
       double fall = rank < top ? 0 : (rank - top + 1.0) / (most - top);
       double threshold = cap * (1 - fall * (1 - IDLE));
       double load = holders.stream().mapToInt(srv -> srv.out.size()).sum();
+      if (sparse() && rank >= top) {
+        load = Math.max(load, cap * Math.min(1, strain / OVERLOADED_SHARE));
+      }
       if (part.stage == Stage.HELD && (rank < top ? load > cap : load >= threshold)) {
         part.stage = Stage.UNSENT;
       } else if (part.stage == Stage.HELD) {
@@ -417,6 +421,15 @@
     }
   }
 
+  /**
+   * Exception: among so many gatherers that our share of a replica's cap, as two would have it, is under one
+   * part, our own parts tell nothing of its load. Past T it is taken as loaded as our latest dispatches were
+   * strained, and a refused part goes on, as it was none of our parts that filled the server.
+   */
+  private boolean sparse() {
+    return settings.instances() > 2 * CAP_START;
+  }
+
   /**
    * Exception: while connections broke of late with parts out, a scan's heaviest part goes first and alone,
    * the others once it is in, or out for twice the typical time. A scan that brings its servers down reaches
@@ -447,7 +460,7 @@
         && part.dispatches.stream().allMatch(d -> !d.out || d.overdue || straggles(d))) {
       if (!furtherEver(part)) {
         part.stage = part.out() == 0 ? Stage.LOST : part.stage;
-      } else if (!overload() && budgetLeft()) {
+      } else if ((!overload() || part.neverCame() || sparse() && !part.mayHaveRun()) && budgetLeft()) {
         ShardServer srv = place(part);
         // A copy is worth its work only off a sick server, for one of the last parts, or out for very long.
         long longAgo = now - Math.round(patience(part.scan) * OUT_LONG);
--- a/gatherer/src/main/java/tidebank/discovery/DiscoverySide.java
+++ b/gatherer/src/main/java/tidebank/discovery/DiscoverySide.java
@@ -34,8 +34,9 @@
 import tidebank.node.Turn;
 
 /**
- * Watches discovery on one connection: the whole list first, then calls that wait for changes, each renewed at once.
- * Any call that fails, in whatever way, ends the watch and is told; when to begin again is not decided here. Where
+ * Watches discovery on one connection: calls that wait for changes, each renewed at once. A watch goes on from the version
+ * that we know, also from before a start or a loss: for a whole list all instances wait in turn, a hundred at once far
+ * longer than each may. It is asked for where no version is known or an answer did not fit. Any call that fails, in whatever way, ends the watch and is told; when to begin again is not decided here. Where
  * the settings promise that changes come unasked, this side keeps that promise: it begins by itself, and again a
  * connect time-out after each failure.
  */
@@ -56,8 +57,10 @@
   private InetSocketAddress address;
   private Link link;
   private boolean following;
-  /** The version that the watch has come to; below 0: none yet. */
-  private long version;
+  /** Whether the watch that is on has been answered at all. */
+  private boolean confirmed;
+  /** The version that we have come to, known from before the start or from a watch that was lost; below 0: none. */
+  private long version = -1;
 
   public DiscoverySide(NodeConfig config, Bootstrap template, Turn turn, Clock clock, Alarms alarms,
       Counters counters) {
@@ -71,8 +74,13 @@
     this.counters = counters;
   }
 
-  /** Begins by itself where the settings promise that. */
-  public void begin() {
+  /** From the list of this version that the gatherer was started with; by itself where the settings promise that. */
+  public void begin(long known) {
+    version = known;
+    begin();
+  }
+
+  private void begin() {
     if (unasked) {
       follow(true);
     }
@@ -82,7 +90,7 @@
   public void follow(boolean on) {
     close();
     following = on;
-    version = -1;
+    confirmed = false;
     if (on) {
       call();
     }
@@ -95,6 +103,7 @@
     }
     LOG.info("discovery is at " + to + " now");
     address = to;
+    version = -1;
     close();
     turn.listSeen(ListKind.MOVED, List.of());
     begin();
@@ -114,9 +123,10 @@
 
   private void call() {
     boolean watch = version >= 0;
-    alarms.set(late, clock.now()
-        + (watch ? transport.listWaitUs() + transport.listGraceUs() : transport.listTimeoutUs()));
-    String path = !watch ? PATH : PATH + "?after=" + version + "&wait_ms=" + transport.listWaitUs() / 1000;
+    // Whoever wanted the watch hears of it in less time than a watch takes that has nothing to tell.
+    long wait = confirmed ? transport.listWaitUs() : transport.listWaitUs() / 2;
+    alarms.set(late, clock.now() + (watch ? wait + transport.listGraceUs() : transport.listTimeoutUs()));
+    String path = !watch ? PATH : PATH + "?after=" + version + "&wait_ms=" + wait / 1000;
     if (link == null) {
       link = new Link(path);
       link.connect();
@@ -125,6 +135,12 @@
     }
   }
 
+  /** What was answered does not fit what is known, so that only the whole list helps. */
+  private void astray(String why) {
+    version = -1;
+    lost(why);
+  }
+
   private void lost(String why) {
     if (following) {
       counters.add("list.calls-failed");
@@ -148,20 +164,20 @@
       list = ListReader.read(mapper.readTree(in));
     } catch (IOException fault) {
       counters.fault("list.malformed", fault.getMessage());
-      lost("a list that can't be read");
+      astray("a list that can't be read");
       return;
     }
     if (!list.whole() && list.version() < version) {
-      lost("changes of version " + list.version() + " after " + version);
+      astray("changes of version " + list.version() + " after " + version);
       return;
     }
     if (!list.whole() && version < 0) {
-      lost("changes where the whole list was asked for");
+      astray("changes where the whole list was asked for");
       return;
     }
-    boolean first = version < 0;
     version = list.version();
-    if (first || list.whole() || !list.members().isEmpty()) {
+    if (!confirmed || list.whole() || !list.members().isEmpty()) {
+      confirmed = true;
       turn.listSeen(list.whole() ? ListKind.FULL : ListKind.CHANGES, list.members());
     }
     if (!HttpUtil.isKeepAlive(response)) {
--- a/gatherer/src/main/java/tidebank/model/Part.java
+++ b/gatherer/src/main/java/tidebank/model/Part.java
@@ -42,6 +42,11 @@
     return out;
   }
 
+  /** Whether no server was asked yet: of those tried none could be reached. */
+  public boolean neverCame() {
+    return dispatches.stream().allMatch(d -> !d.out && (d.outcome == Outcome.UNREACHABLE || d.outcome == Outcome.NEVER_SENT));
+  }
+
   public boolean mayHaveRun() {
     for (Dispatch d : dispatches) {
       if (d.out || !d.outcome.neverRan) {
--- a/gatherer/src/main/java/tidebank/node/Gatherer.java
+++ b/gatherer/src/main/java/tidebank/node/Gatherer.java
@@ -120,7 +120,7 @@
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark());
     loop.submit(() -> {
       turn.listSeen(ListKind.REMEMBERED, known.members());
-      discovery.begin();
+      discovery.begin(known.members().isEmpty() ? -1 : known.version());
     }).syncUninterruptibly();
     ChannelFuture binding = clients.listen(in).awaitUninterruptibly();
     if (!binding.isSuccess()) {
--- a/gatherer/src/test/java/tidebank/BrainTest.java
+++ b/gatherer/src/test/java/tidebank/BrainTest.java
@@ -392,6 +392,30 @@
     assertThat(sent(host.pass(500))).isEmpty();
   }
 
+  @Test
+  void aPartThatReachedNoServerGoesOnAlsoUnderOverload() {
+    refuse("a0", "a1", "a2", "a3");
+    host.scan("b", "whole", 0.25, 0.25, 0.25, 0.25);
+    assertThat(sent(host.end(Outcome.UNREACHABLE, "b0"))).containsExactly("b0");
+  }
+
+  @Test
+  void inABigFleetARefusedPartGoesOnAlsoUnderOverload() {
+    host.instances = 60;
+    assertThat(sent(refuse("a0", "a1", "a2", "a3"))).containsExactly("a0", "a1", "a2", "a3");
+    assertThat(sent(host.end(Outcome.TIMED_OUT, "a0"))).isEmpty();
+  }
+
+  @Test
+  void inABigFleetStrainLeavesLightPartsOutThoughOurOwnAreFew() {
+    for (int instances : List.of(2, 60)) {
+      FakeHost one = new FakeHost();
+      one.instances = instances;
+      one.start();
+      assertThat(sent(one.scan("q", "part", 0.52, 0.2, 0.18, 0.1))).hasSize(instances == 2 ? 4 : 2).startsWith("q0", "q1");
+    }
+  }
+
   @Test
   void gatherersToldOfAStartTogetherDoNotAllSendAtOnce() {
     int sent = 0;
