--- a/cli/src/main/java/tidebank/cli/Archive.java
+++ b/cli/src/main/java/tidebank/cli/Archive.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import tidebank.lab.replay.GathererProcess;
 import tidebank.lab.replay.Replay;
 import tidebank.lab.site.Site;
 
