A fleet's calls to a cold server go round by rank and stay under its budget

Brain.coldRoom had each gatherer begin at a moment by chance and then stretched its window to N of the whole, so that the sum was N in the mean and its chance is that of independent senders, over some twenty windows; a restarted one began anew in the same window; and N was that of a window's end.

Change: where our share is under one call, turns go round by rank and by the calls that the fleet has been allowed since the start; a turn that was running when we were told does not count. The mean lies four deviations under the bound. From one call on the share is exact, as it was.

--- a/gatherer/src/main/java/tidebank/Brain.java
+++ b/gatherer/src/main/java/tidebank/Brain.java
@@ -51,6 +51,8 @@
   /** The most of its target time that an answer leaves early: a cold gatherer's first large scan takes as much. */
   private static final double EARLY_MOST = 0.2;
   private static final double SUM_SLACK = 0.00005;
+  /** How many deviations of chance a cold server's calls stay under what it bears. */
+  private static final double CHANCE = 4;
 
   private final Settings settings;
   private final Chance chance;
@@ -571,9 +573,10 @@
 
   /**
    * Rule 4. A warm server is taken to carry what one core can, or as many as its told size; a cold one the
-   * cold share of that, rising evenly. Ours is one part of as many as there are gatherers, over any window,
-   * which stretches where that is under one part. Gatherers are told of a start together, so that each begins
-   * such a window at a moment of its own; else all would send at once.
+   * cold share of that, rising evenly. Ours is one part of as many as there are gatherers, over any window.
+   * Where that is under one call, the fleet's calls go round by rank, each turn lasting until the next: chance
+   * alone lets a fleet exceed its budget, and so does a restarted gatherer, which forgot whether it sent. So
+   * only turns that begin after we were told count.
    */
   private boolean coldRoom(ShardServer srv) {
     Settings.Rules rules = settings.rules();
@@ -581,19 +584,35 @@
     if (srv.startedAt == 0 || age >= rules.coldUs()) {
       return true;
     }
-    double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
-    double unit = Math.max(service, shortestTarget * TYPICAL_START) + settings.layout().callUs();
-    double warm = Math.max(1, srv.size) * rules.tipAfterUs() / unit;
-    double budget = Math.max(SUM_SLACK, capacity * rules.fallMultiple() * warm / settings.instances());
-    long window = Math.round(rules.tipAfterUs() / Math.min(1, budget));
-    boolean begun = budget >= 1 || now - srv.coldToldAt >= srv.coldPhase * window;
-    return begun && srv.coldSends.count(now, window) + 1 <= Math.max(1, budget);
+    // The window that ends now began when less was allowed.
+    double then = Math.max(0, age - rules.tipAfterUs()) / (double) rules.coldUs();
+    double fair = (rules.coldFrom() + (1 - rules.coldFrom()) * then) * srv.coldRate / settings.instances();
+    return srv.coldSends.count(now, rules.tipAfterUs()) + 1 <= Math.max(1, fair)
+        && (fair >= 1 || coldTurn(srv) > srv.coldTurn);
+  }
+
+  /**
+   * The number of our turn, by the calls that the fleet has been allowed since the start. When calls come is
+   * chance: the mean is kept so low that four deviations still lie under the budget and two of its own.
+   */
+  private long coldTurn(ShardServer srv) {
+    Settings.Rules rules = settings.rules();
+    double age = Math.max(0, now - srv.startedAt);
+    double grown = rules.coldFrom() * age + (1 - rules.coldFrom()) * age * age / 2 / rules.coldUs();
+    double least = Math.max(SUM_SLACK, rules.coldFrom() * srv.coldRate);
+    double low = Math.sqrt(Math.pow(Math.sqrt(least) + 1, 2) + 1 + CHANCE * CHANCE / 4) - CHANCE / 2;
+    double calls = grown / rules.tipAfterUs() * srv.coldRate * low * low / Math.max(1, least);
+    return (long) Math.floor(calls / settings.instances() - srv.coldPhase);
   }
 
   private void started(ShardServer srv, long at) {
+    Settings.Rules rules = settings.rules();
+    double unit = Math.max(service, shortestTarget * TYPICAL_START) + settings.layout().callUs();
     srv.startedAt = at;
-    srv.coldToldAt = now;
-    srv.coldPhase = chance.next();
+    srv.coldRate = rules.fallMultiple() * Math.max(1, srv.size) * rules.tipAfterUs() / unit;
+    double first = Chance.folded(srv.id) + settings.rank() / (double) settings.instances();
+    srv.coldPhase = settings.rank() < 0 ? chance.next() : first - Math.floor(first);
+    srv.coldTurn = coldTurn(srv);
   }
 
   private void send(Part part, ShardServer srv) {
@@ -620,7 +639,8 @@
     if (dispatch.number > 0) {
       further.add(now, settings.rules().ratioSpanUs() + settings.tickUs());
     }
-    srv.coldSends.add(now, settings.rules().coldUs());
+    srv.coldSends.add(now, settings.rules().tipAfterUs());
+    srv.coldTurn = srv.startedAt == 0 ? 0 : coldTurn(srv);
     srv.out.add(dispatch);
     unsettled.add(dispatch);
     agenda.at(dispatch.dueAt, scan);
--- a/gatherer/src/main/java/tidebank/config/SettingsReader.java
+++ b/gatherer/src/main/java/tidebank/config/SettingsReader.java
@@ -33,6 +33,7 @@
     }
     return new Settings(
         Math.max(1, Json.whole(config, "instances", 1)),
+        Json.whole(config, "rank", -1),
         Math.max(1, Json.span(config, "tickMs", 1)),
         types,
         allowances,
--- a/gatherer/src/main/java/tidebank/model/Settings.java
+++ b/gatherer/src/main/java/tidebank/model/Settings.java
@@ -3,9 +3,13 @@
 import java.util.Map;
 import java.util.OptionalLong;
 
-/** The settings an instance is started with. Times are whole microseconds. */
+/**
+ * The settings an instance is started with. Times are whole microseconds. {@code rank} is its number among the instances,
+ * from 0, or below 0 where it is not told.
+ */
 public record Settings(
     int instances,
+    int rank,
     long tickUs,
     Map<String, TableType> tableTypes,
     Map<String, Double> allowances,
--- a/gatherer/src/main/java/tidebank/model/ShardServer.java
+++ b/gatherer/src/main/java/tidebank/model/ShardServer.java
@@ -11,9 +11,11 @@
   public double size;
   public boolean inService;
   public long startedAt;
-  /** When we were told of that start, and by what share of a window we wait before the first part. */
-  public long coldToldAt;
+  /** What it bears warm within the window of rule 4, by the time that answers took when we were told of its start. */
+  public double coldRate;
+  /** By what share of a round among the gatherers our turns come later, and the last that we used or were told in. */
   public double coldPhase;
+  public long coldTurn;
   /** The call that parts sent at this moment share, and how many share it so far. */
   public long callAt = -1;
   public long call;
