Shutdown lets in nothing that SIGKILL could find; leavers are seen in the pass of their request

Ruled out by log lines: clients left open, scans held, alarms not rung, collections, safepoints.

Change: ShutdownPlan closes connections without a request before 0.7 s, from when what comes is lost if unanswered, and reckons from the earliest moment at which the signal may have come: so long ago as an alarm that was due has waited. Whatever is left is closed at the end. A signal amid the start ends it with 0; before, the hook was set after listening.

The last answer on a connection ends it by half-close, and what still comes is read and dropped until the client ends, 2.5 s at the most: before, closing over unread bytes reset it. Reading is never turned off, so that a client's end is always seen; the request beyond the bound is answered 503 as before. Its end is met in the pass that reads its request (half-closure allowed, reading until nothing is left), before the turn that would send; the end of the channel came after that turn.

--- a/gatherer/src/main/java/tidebank/Main.java
+++ b/gatherer/src/main/java/tidebank/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.Semaphore;
 import org.slf4j.Logger;
@@ -48,14 +49,25 @@
    * configuration read again, here and not on the event loop; signals that come meanwhile count as one.
    */
   private static void serve(OperatorFile own) throws IOException {
-    Log.style(own.log());
     Semaphore reloads = new Semaphore(0);
     Signal.handle(new Signal("HUP"), signal -> reloads.release());
-    Gatherer gatherer = Gatherer.start(NodeConfig.read(System.getenv()), own);
+    CompletableFuture<Gatherer> started = new CompletableFuture<>();
+    // Before anything listens: a signal amid the start waits for its end, and then ends what was started with 0.
     Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-      gatherer.stop().join();
-      Runtime.getRuntime().halt(0);
+      if (!started.handle((it, fault) -> fault != null).join()) {
+        started.join().stop().join();
+        Runtime.getRuntime().halt(0);
+      }
     }));
+    Gatherer gatherer;
+    try {
+      Log.style(own.log());
+      gatherer = Gatherer.start(NodeConfig.read(System.getenv()), own);
+      started.complete(gatherer);
+    } catch (IOException | RuntimeException | Error fault) {
+      started.completeExceptionally(fault);
+      throw fault;
+    }
     LOG.info("serving");
     while (true) {
       reloads.acquireUninterruptibly();
--- a/gatherer/src/main/java/tidebank/config/NodeConfig.java
+++ b/gatherer/src/main/java/tidebank/config/NodeConfig.java
@@ -72,30 +72,16 @@
       int maxStreams,
       boolean probeForLoad,
       int bodyMost,
-      long listWaitUs,
-      long listGraceUs,
-      long listTimeoutUs,
-      long stopWithinUs,
-      long takeOnUs,
       long requestWithinUs,
       long restLeastUs) {
-    static Transport of(JsonNode settings, Settings read) throws Malformed {
+    static Transport of(JsonNode settings) throws Malformed {
       JsonNode limits = settings.path("limits");
-      // SIGKILL comes no sooner than the longest deadline, at most 3 s, and 0.7 s after SIGTERM; 0.2 s stay free.
-      long stopWithin = Math.min(read.slowestUs(), 3 * SECOND_US) + SECOND_US / 2;
-      long wait = Math.min(read.rules().askEveryUs(), 60 * SECOND_US);
       return new Transport(
           Math.max(1000, Json.span(limits, "connectTimeoutMs", 250)),
           Json.span(limits, "keepaliveMs", 15_000),
           Math.max(1, Json.whole(limits, "maxStreams", 100)),
           Json.text(settings.path("report"), "how", "off").equals("on_probe"),
           BODY_MOST,
-          wait,
-          2 * SECOND_US,
-          6 * SECOND_US,
-          stopWithin,
-          // What comes within 0.7 s is a straggler; beyond, a scan is taken while a target time is left for it.
-          Math.max(7 * SECOND_US / 10, stopWithin - read.shortestTargetUs().orElse(stopWithin)),
           // A client is owed an error or an end within 3 s of connecting; half a second stays free.
           5 * SECOND_US / 2,
           // A connection without an open request may be closed after so long.
@@ -124,7 +110,7 @@
     Transport transport;
     try {
       settings = SettingsReader.read(settingsNode);
-      transport = Transport.of(settingsNode, settings);
+      transport = Transport.of(settingsNode);
     } catch (Malformed fault) {
       throw new Malformed("settings: " + fault.getMessage());
     }
--- a/gatherer/src/main/java/tidebank/front/ClientConnection.java
+++ b/gatherer/src/main/java/tidebank/front/ClientConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -26,7 +27,8 @@
 /** One client's connection. Requests that come before earlier ones are answered are answered in their order. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
   private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
-  private static final ChannelFutureListener END_OUTPUT =
+  /** A close over bytes that were not read resets the connection, and the answer under way on it goes with that. */
+  private static final ChannelFutureListener HALF_CLOSE =
       done -> ((DuplexChannel) done.channel()).shutdownOutput();
 
   private final ClientSide side;
@@ -40,7 +42,7 @@
   private long restsSince;
   private boolean asked;
   private boolean ending;
-  /** The client still sends what is not wanted: ending at once would reset the response under way to it. */
+  /** Its last answer is written; what still comes is read and dropped until the client ends or its time is up. */
   private boolean lingering;
 
   ClientConnection(ClientSide side, boolean surplus) {
@@ -60,6 +62,10 @@
     return restsSince;
   }
 
+  void restsFrom(long now) {
+    restsSince = now;
+  }
+
   long connectedAt() {
     return connectedAt;
   }
@@ -86,7 +92,7 @@
 
   /** The first bytes of a request are here: from now on its time runs. A first one has had it since it connected. */
   void begun() {
-    if (headAt == 0) {
+    if (headAt == 0 && !lingering) {
       headAt = side.clock.now();
       if (asked) {
         side.asked(this);
@@ -98,10 +104,12 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
+      // A client has one request open at a time. Reading on past the bound, and past answers that are not read, shows its end.
+      boolean full = exchanges.size() >= side.pipelineMost() || !channel.isWritable();
       if (!ending && surplus && message instanceof HttpRequest) {
         side.counters.add("front.refused-connections");
         refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections");
-      } else if (!ending && exchanges.size() >= side.pipelineMost() && message instanceof HttpRequest) {
+      } else if (!ending && full && message instanceof HttpRequest) {
         side.counters.add("front.refused-at-once");
         refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests at once");
       } else if (!ending && message instanceof FullHttpRequest request) {
@@ -133,9 +141,6 @@
         exchange.respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed");
       }
     }
-    if (exchanges.size() >= side.pipelineMost()) {
-      channel.config().setAutoRead(false);
-    }
   }
 
   private void answer(Exchange exchange, FullHttpRequest request, long at) {
@@ -172,7 +177,6 @@
     Exchange exchange = new Exchange(this);
     exchanges.add(exchange);
     ending = true;
-    lingering = true;
     exchange.respond(status, text);
   }
 
@@ -217,27 +221,29 @@
       wrote = true;
       if (last) {
         ending = true;
+        lingering = true;
         waitFor();
-        channel.writeAndFlush(response).addListener(lingering ? END_OUTPUT : ChannelFutureListener.CLOSE);
+        side.rests(this);
+        channel.writeAndFlush(response).addListener(HALF_CLOSE);
         return;
       }
       channel.write(response, channel.voidPromise());
     }
     if (wrote) {
       channel.flush();
-      readOn();
+      awaitReader();
       if (isIdle()) {
-        restsSince = side.clock.now();
         side.rests(this);
       }
     }
   }
 
-  /** Reads on where what was answered is being read; else it ends in time. */
-  private void readOn() {
-    boolean writable = channel.isWritable();
-    channel.config().setAutoRead(exchanges.size() < side.pipelineMost() && writable);
-    if (!writable) {
+  /** An answer that is not read has its time as a request has. */
+  private void awaitReader() {
+    if (lingering) {
+      return;
+    }
+    if (!channel.isWritable()) {
       waitFor();
     } else if (headAt == 0 && !ending) {
       side.alarms.clear(slow);
@@ -246,12 +252,27 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
-    readOn();
+    awaitReader();
+  }
+
+  /**
+   * The client has ended its side. This comes in the pass in which that is read, before the turn that would still send
+   * for it; the end of the channel is only told after that turn.
+   */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      left();
+      channel.close();
+    } else {
+      context.fireUserEventTriggered(event);
+    }
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+      left();
       context.close();
       return;
     }
@@ -265,6 +286,11 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
+    left();
+  }
+
+  /** The client is gone, and what it asked for is wanted no longer. */
+  private void left() {
     side.alarms.clear(slow);
     side.left(this);
     for (Exchange exchange : exchanges) {
@@ -276,6 +302,8 @@
       }
     }
     exchanges.clear();
+    ending = true;
+    lingering = true;
   }
 
   private void slow() {
--- a/gatherer/src/main/java/tidebank/front/ClientSide.java
+++ b/gatherer/src/main/java/tidebank/front/ClientSide.java
@@ -32,7 +32,7 @@
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
   /** Those that have not asked for anything yet, the oldest first: the first to give way. */
   private final Set<ClientConnection> unasked = new LinkedHashSet<>();
-  /** Those between two requests, the one that has rested longest first. */
+  /** Those between two requests, or past their last answer, the one that has rested longest first. */
   private final Set<ClientConnection> resting = new LinkedHashSet<>();
   private Channel listener;
   private boolean draining;
@@ -120,6 +120,7 @@
    * soon that its client may be asking on.
    */
   void rests(ClientConnection connection) {
+    connection.restsFrom(clock.now());
     resting.add(connection);
     ClientConnection longest = resting.iterator().next();
     if (resting.size() > config.budgets().resting()
@@ -166,6 +167,11 @@
     }
   }
 
+  /** Closes whatever is left. */
+  public void close() {
+    List.copyOf(connections).forEach(ClientConnection::close);
+  }
+
   /** How many connections are left. */
   public int open() {
     return connections.size();
--- a/gatherer/src/main/java/tidebank/node/Alarms.java
+++ b/gatherer/src/main/java/tidebank/node/Alarms.java
@@ -43,6 +43,8 @@
   private ScheduledFuture<?> wakeUp;
   private long wakeAt = Long.MAX_VALUE;
   private long orders;
+  private long rungAt;
+  private long rungLateUs;
 
   public Alarms(EventLoop loop, Clock clock, Counters counters) {
     this.loop = loop;
@@ -60,6 +62,16 @@
     arm();
   }
 
+  /**
+   * For how long something that was due has waited, or has just had to: so long this process stood still, or was too
+   * busy to notice what came.
+   */
+  public long latenessUs() {
+    long now = clock.now();
+    long due = waiting.isEmpty() ? 0 : now - waiting.first().at;
+    return Math.max(due, now - rungAt <= rungLateUs ? rungLateUs : 0);
+  }
+
   public void clear(Alarm alarm) {
     if (alarm.set) {
       waiting.remove(alarm);
@@ -83,6 +95,10 @@
     wakeUp = null;
     wakeAt = Long.MAX_VALUE;
     long now = clock.now();
+    if (!waiting.isEmpty() && waiting.first().at <= now) {
+      rungAt = now;
+      rungLateUs = now - waiting.first().at;
+    }
     while (!waiting.isEmpty() && waiting.first().at <= now) {
       Alarm due = waiting.pollFirst();
       due.set = false;
--- a/gatherer/src/main/java/tidebank/node/Gatherer.java
+++ b/gatherer/src/main/java/tidebank/node/Gatherer.java
@@ -125,8 +125,10 @@
         .option(ChannelOption.SO_BACKLOG, config.budgets().clients())
         .childOption(ChannelOption.ALLOCATOR, allocator)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(
-            config.budgets().readLeast(), config.budgets().readFirst(), config.budgets().readMost()))
+        // Read on until nothing is left: the end of a client that has left is met in the pass that reads its request.
+        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(config.budgets().readLeast(),
+            config.budgets().readFirst(), config.budgets().readMost()).respectMaybeMoreData(false))
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark());
     loop.submit(() -> {
       turn.listSeen(ListKind.REMEMBERED, known.members());
@@ -183,10 +185,10 @@
         stopping = true;
         LOG.info("stopping");
         clients.drain();
-        long now = clock.now();
-        endBy = now + config.transport().stopWithinUs();
+        ShutdownPlan plan = new ShutdownPlan(config.settings(), clock.now(), alarms.latenessUs());
+        endBy = plan.endBy;
         turn.ending(endBy);
-        alarms.set(Alarms.alarm(this::noMoreRequests), now + config.transport().takeOnUs());
+        alarms.set(Alarms.alarm(this::noMoreRequests), plan.closeAt);
       }
     });
     return stopped;
@@ -216,8 +218,11 @@
     turn.whenIdle(this::waitForClients);
   }
 
-  /** Answers are on their way; their connections close once they are written. */
+  /** Answers are on their way; their connections close once they are written and read, and at the end in any case. */
   private void waitForClients() {
+    if (clock.now() >= endBy) {
+      clients.close();
+    }
     if (clients.open() > 0) {
       alarms.set(Alarms.alarm(() -> turn.whenIdle(this::waitForClients)), clock.now() + config.settings().tickUs());
       return;
