Crossings forced over loopback: leavers, last answers, shutdown, lists, descriptors, readiness

Calls that wait for a draining server are dropped at once, as the grace counts from when discovery wrote and we may have stood still since. Idle clients up to a limit that is really set leave room for discovery, servers and who asks: sound as it was.

--- a/gatherer/src/main/java/tidebank/Main.java
+++ b/gatherer/src/main/java/tidebank/Main.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
@@ -51,9 +52,13 @@
   private static void serve(OperatorFile own) throws IOException {
     Semaphore reloads = new Semaphore(0);
     Signal.handle(new Signal("HUP"), signal -> reloads.release());
+    AtomicBoolean starting = new AtomicBoolean();
     CompletableFuture<Gatherer> started = new CompletableFuture<>();
-    // Before anything listens: a signal amid the start waits for its end, and then ends what was started with 0.
+    // A signal before anything listens ends the program at once; amid the start, when that is done and undone again.
     Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+      if (!starting.get() && !started.isDone()) {
+        Runtime.getRuntime().halt(0);
+      }
       if (!started.handle((it, fault) -> fault != null).join()) {
         started.join().stop().join();
         Runtime.getRuntime().halt(0);
@@ -62,7 +67,9 @@
     Gatherer gatherer;
     try {
       Log.style(own.log());
-      gatherer = Gatherer.start(NodeConfig.read(System.getenv()), own);
+      NodeConfig config = NodeConfig.read(System.getenv());
+      starting.set(true);
+      gatherer = Gatherer.start(config, own);
       started.complete(gatherer);
     } catch (IOException | RuntimeException | Error fault) {
       started.completeExceptionally(fault);
--- a/gatherer/src/main/java/tidebank/node/Gatherer.java
+++ b/gatherer/src/main/java/tidebank/node/Gatherer.java
@@ -81,7 +81,9 @@
     if (recorder != null) {
       turn.log(recorder);
     }
-    clients = new ClientSide(config, turn, clock, alarms, counters, turn::knowsServers);
+    Readiness readiness = new Readiness(clock.now());
+    clients = new ClientSide(config, turn, clock, alarms, counters,
+        () -> readiness.ready(clock.now(), turn.knowsServers(), turn.listed()));
   }
 
   /** What can't be recorded is served all the same. */
@@ -164,7 +166,7 @@
     return address;
   }
 
-  /** Whether it can serve: it knows of shard servers and is not stopping. */
+  /** Whether it can serve, as {@link Readiness} has it, and is not stopping. */
   public boolean ready() {
     return loop.submit(() -> clients.ready()).syncUninterruptibly().getNow();
   }
--- a/gatherer/src/main/java/tidebank/node/Turn.java
+++ b/gatherer/src/main/java/tidebank/node/Turn.java
@@ -38,6 +38,7 @@
   private final Map<String, Member> list = new HashMap<>();
   private List<Event> events = new ArrayList<>();
   private boolean scheduled;
+  private boolean listed;
   private Brain brain;
   private long seed;
   private ShardPort shards;
@@ -132,6 +133,7 @@
   public void listSeen(ListKind kind, List<Member> members) {
     if (kind != ListKind.LOST && kind != ListKind.MOVED) {
       boolean full = kind != ListKind.CHANGES;
+      listed |= kind != ListKind.REMEMBERED;
       if (full) {
         list.clear();
       }
@@ -156,6 +158,11 @@
     checkIdle();
   }
 
+  /** Whether any list has come since the start. */
+  boolean listed() {
+    return listed;
+  }
+
   /** Whether any list told of a shard server. */
   boolean knowsServers() {
     return !list.isEmpty();
--- a/gatherer/src/main/java/tidebank/shard/Connection.java
+++ b/gatherer/src/main/java/tidebank/shard/Connection.java
@@ -152,6 +152,11 @@
   /** Its server may be sent nothing new: what waits is dropped, what is stuck is cut off. */
   void closedToNew() {
     stopWriting();
+    dropWaiting();
+  }
+
+  /** What was not begun to be written never is. */
+  void dropWaiting() {
     for (Call call : List.copyOf(waiting)) {
       side.counters.add("shard.dropped-for-drain");
       server.endAll(call, Outcome.NEVER_SENT);
--- a/gatherer/src/main/java/tidebank/shard/ShardSide.java
+++ b/gatherer/src/main/java/tidebank/shard/ShardSide.java
@@ -100,6 +100,8 @@
 
   private void leaves(Server server, long now, boolean gone) {
     server.closeFrom(Math.min(server.closedFrom, now + config.settings().rules().drainGraceUs()));
+    // The grace counts from when discovery wrote this, and we may have stood still since: what waits need not wait for it.
+    List.copyOf(server.connections).forEach(Connection::dropWaiting);
     server.gone = gone;
     forgetIfGone(server);
   }
--- /dev/null
+++ b/gatherer/src/test/java/tidebank/CrossingsTest.java
@@ -0,0 +1,423 @@
+package tidebank;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static tidebank.FakeSite.FakeClient.scan;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import tidebank.FakeSite.FakeClient;
+import tidebank.FakeSite.FakeShardServer;
+import tidebank.FakeSite.FakeShardServer.Frame;
+import tidebank.node.Gatherer;
+
+/** Two things that happen at one moment, forced over loopback from both sides. docs/notes/crossings.md has the table. */
+@Timeout(30)
+class CrossingsTest {
+  private final FakeSite site = new FakeSite();
+
+  @AfterEach
+  void close() throws Exception {
+    site.close();
+  }
+
+  private void silence() {
+    site.servers.forEach(server -> server.answers = false);
+  }
+
+  /** One server in service, s1, for the shards 0 and 1. */
+  private FakeShardServer only() {
+    site.servers.forEach(server -> server.health = "Gone");
+    FakeShardServer one = site.servers.get(1);
+    one.health = "Ready";
+    return one;
+  }
+
+  /** Has the event loop stand still until what it returns is counted down; it does so when this returns. */
+  private CountDownLatch standStill() throws Exception {
+    java.lang.reflect.Field loop = Gatherer.class.getDeclaredField("loop");
+    loop.setAccessible(true);
+    CountDownLatch stands = new CountDownLatch(1);
+    CountDownLatch go = new CountDownLatch(1);
+    ((Executor) loop.get(site.gatherer())).execute(() -> {
+      stands.countDown();
+      try {
+        go.await();
+      } catch (InterruptedException fault) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    stands.await();
+    return go;
+  }
+
+  private FakeClient program() throws Exception {
+    site.program(Map.of("NODE_CONFIG", site.configFile().toString(), "NODE_NAME", "n7", "NODE_LISTEN", "127.0.0.1:0"), "serve");
+    return new FakeClient(new InetSocketAddress("127.0.0.1", Integer.parseInt(
+        log("gatherer n7 listens on").replaceAll(".*127.0.0.1:(\\d+).*", "$1"))));
+  }
+
+  private String log(String part) throws IOException {
+    for (String line = site.errors.readLine(); ; line = site.errors.readLine()) {
+      assertThat(line).as("a line of the log with " + part).isNotNull();
+      if (line.contains(part)) {
+        return line;
+      }
+    }
+  }
+
+  private void signal(String name) throws Exception {
+    new ProcessBuilder("kill", "-" + name, String.valueOf(site.process.pid())).start().waitFor();
+  }
+
+  private void endsWith0() throws Exception {
+    assertThat(site.process.waitFor(FakeSite.WAIT_MS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(site.process.exitValue()).isZero();
+  }
+
+  // ---- clients that leave
+
+  /** How a client ends its connection. */
+  enum End {
+    FIN, RESET, HALF;
+
+    void end(FakeClient client) throws IOException {
+      if (this == HALF) {
+        client.socket.shutdownOutput();
+        return;
+      }
+      if (this == RESET) {
+        client.socket.setSoLinger(true, 0);
+      }
+      client.close();
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(End.class)
+  void whatIsReadInOnePassWithTheEndOfItsClientIsNeverSent(End end) throws Exception {
+    site.start();
+    List<FakeClient> leavers = new ArrayList<>();
+    try (FakeClient stays = site.client()) {
+      for (int i = 0; i < 20; i++) {
+        leavers.add(site.client());
+        assertThat(leavers.get(i).ready()).isEqualTo(200);
+      }
+      CountDownLatch go = standStill();
+      for (FakeClient leaver : leavers) {
+        end.end(leaver.send(scan("whole", "gone" + leavers.indexOf(leaver), 2900, 0.5, 0.5)));
+      }
+      stays.send(scan("whole", "stays", 2900, 0.5, 0.5));
+      go.countDown();
+      assertThat(stays.read().status()).isEqualTo(200);
+      // Once more: whatever the first pass left over would go by now.
+      assertThat(stays.ask(scan("whole", "again", 2900, 0.5, 0.5)).status()).isEqualTo(200);
+      for (FakeShardServer server : site.servers) {
+        assertThat(server.frames).noneMatch(frame -> frame.rest().startsWith("gone"));
+      }
+    } finally {
+      for (FakeClient leaver : leavers) {
+        leaver.close();
+      }
+    }
+  }
+
+  @Test
+  void theEndOfAClientWithAFullPipelineIsSeen() throws Exception {
+    silence();
+    FakeShardServer server = only();
+    site.targetMs = 10_000;
+    site.start();
+    FakeClient client = site.client();
+    for (int i = 0; i < 16; i++) {
+      client.send(scan("whole", "a" + i, 29_000, 1));
+      assertThat(server.next().letter()).isEqualTo('m');
+    }
+    client.close();
+    for (int i = 0; i < 16; i++) {
+      assertThat(server.next().letter()).isEqualTo('n');
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(End.class)
+  void anAnswerAndTheEndOfItsClientInOnePassLeaveNothingBehind(End end) throws Exception {
+    silence();
+    FakeShardServer server = only();
+    site.start();
+    FakeClient leaver = site.client();
+    leaver.send(scan("once", "a", 2900, 1));
+    Frame frame = server.next();
+    CountDownLatch go = standStill();
+    end.end(leaver);
+    frame.answer("good", "in one pass");
+    go.countDown();
+    server.answers = true;
+    try (FakeClient other = site.client()) {
+      assertThat(other.ask(scan("once", "b", 2900, 1)).body()).contains("value of b.0");
+      assertThat(server.accepted).as("the connection to it holds").hasValue(1);
+    }
+    leaver.close();
+  }
+
+  // ---- closing over bytes that were not read
+
+  @Test
+  void aLastAnswerComesWholeThoughItsClientHasSentMore() throws Exception {
+    silence();
+    FakeShardServer server = only();
+    site.start();
+    // It takes in a part of the answer only; a reset would have the system drop the rest.
+    try (FakeClient client = new FakeClient(site.gatherer().address(), 4096)) {
+      client.send(scan("whole", "a", 2900, 1).replace("Host: x", "Host: x\r\nConnection: close"));
+      Frame frame = server.next();
+      CountDownLatch go = standStill();
+      // More than is read in one pass, and it goes on while the answer is under way.
+      client.send("x".repeat(300_000));
+      Thread more = new Thread(() -> {
+        try {
+          client.send("x".repeat(3_000_000));
+        } catch (IOException ended) {
+          // The gatherer's time for it is up, or it has read enough.
+        }
+      });
+      more.start();
+      frame.answer("good", "y".repeat(60_000));
+      go.countDown();
+      try (FakeClient other = site.client()) {
+        // By its second answer the gatherer has done all that it would to end the first connection.
+        assertThat(other.ready()).isEqualTo(200);
+        assertThat(other.ready()).isEqualTo(200);
+      }
+      FakeClient.Response response = client.read();
+      assertThat(response.status()).isEqualTo(200);
+      assertThat(response.body()).contains("y".repeat(60_000));
+      assertThat(client.ended()).isTrue();
+    }
+  }
+
+  @Test
+  void aClientThatStaysPastItsLastAnswerIsClosedInTime() throws Exception {
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.ask(scan("whole", "a", 2000, 1).replace("Host: x", "Host: x\r\nConnection: close"));
+      assertThat(client.ended()).isTrue();
+      long start = System.nanoTime();
+      org.assertj.core.api.Assertions.assertThatThrownBy(() -> {
+        while (System.nanoTime() - start < 6_000_000_000L) {
+          client.send("x");
+        }
+      }).isInstanceOf(IOException.class);
+    }
+  }
+
+  // ---- shutdown
+
+  @Test
+  void aSigtermBeforeTheConfigurationIsReadEndsItWith0() throws Exception {
+    Path pipe = Files.createTempDirectory("pipe").resolve("config");
+    assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+    site.program(Map.of("NODE_CONFIG", pipe.toString()), "serve");
+    // Opening a pipe for writing waits for its reader, so the program is about to read its configuration now.
+    try (java.io.OutputStream writer = Files.newOutputStream(pipe)) {
+      signal("HUP");
+      signal("TERM");
+      endsWith0();
+    }
+  }
+
+  @Test
+  void twoSigtermsWithSighupBetweenAndBehindAnswerWhatWasTakenAndEndItWith0() throws Exception {
+    silence();
+    FakeShardServer server = only();
+    try (FakeClient held = program()) {
+      held.send(scan("once", "held", 2900, 1));
+      Frame frame = server.next();
+      signal("TERM");
+      log("stopping");
+      signal("HUP");
+      signal("TERM");
+      signal("HUP");
+      frame.answer("good", "worth the wait");
+      assertThat(held.read().body()).contains("worth the wait");
+      assertThat(held.ended()).isTrue();
+      endsWith0();
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aRequestWhoseHeadIsInAtSigtermIsAnsweredIfItsBodyComesAndNeverHoldsTheEndUp(boolean comes) throws Exception {
+    String request = scan("once", "half", 2900, 1);
+    try (FakeClient half = program(); FakeClient rests = half.again()) {
+      assertThat(rests.ready()).isEqualTo(200);
+      long start = System.nanoTime();
+      half.send(request.substring(0, request.length() - 5));
+      // By its answer the gatherer has also met what came before on the other connection.
+      assertThat(rests.ready()).isEqualTo(200);
+      signal("TERM");
+      log("stopping");
+      // Rests until it is ended, by when no more requests are let in.
+      assertThat(rests.ended()).isTrue();
+      if (comes) {
+        half.send(request.substring(request.length() - 5));
+        assertThat(half.read().body()).contains("value of half.0");
+      }
+      assertThat(half.ended()).isTrue();
+      endsWith0();
+      assertThat((System.nanoTime() - start) / 1_000_000).isLessThan(3700);
+    }
+  }
+
+  @Test
+  void whoComesAtSigtermIsServedWhatHangsIsAbandonedAndItEndsWith0() throws Exception {
+    silence();
+    try (FakeClient first = program()) {
+      assertThat(first.ready()).isEqualTo(200);
+      long start = System.nanoTime();
+      signal("TERM");
+      log("stopping");
+      List<FakeClient> late = new ArrayList<>();
+      for (int i = 0; i < 20; i++) {
+        late.add(first.again().send(scan("once", "late" + i, 2900, 1)));
+      }
+      site.servers.get(0).close();
+      for (FakeClient client : late) {
+        assertThat(client.read().status()).isIn(500, 503);
+        assertThat(client.ended()).isTrue();
+        client.close();
+      }
+      endsWith0();
+      assertThat((System.nanoTime() - start) / 1_000_000).isLessThan(3700);
+    }
+  }
+
+  @Test
+  void aClientThatNeverReadsDoesNotHoldTheEndUp() throws Exception {
+    FakeShardServer server = only();
+    silence();
+    site.limits.put("mostHeld", 10_000);
+    try (FakeClient deaf = program()) {
+      for (int i = 0; i < 60; i++) {
+        deaf.send(scan("whole", "a" + i, 2900, 1));
+        Frame frame = server.frames.poll(200, TimeUnit.MILLISECONDS);
+        if (frame != null && frame.letter() == 'm') {
+          frame.answer("good", "x".repeat(60_000));
+        }
+      }
+      long start = System.nanoTime();
+      signal("TERM");
+      endsWith0();
+      assertThat((System.nanoTime() - start) / 1_000_000).isLessThan(3700);
+    } catch (java.net.SocketException cutOff) {
+      // So may a client be that does not read.
+      signal("TERM");
+      endsWith0();
+    }
+  }
+
+  // ---- descriptors
+
+  @Test
+  void idleClientsUpToTheLimitWhileDiscoveryIsDownLeaveRoomForItForServersAndForWhoAsks() throws Exception {
+    site.sockets = 128;
+    site.limited = true;
+    site.discovery.instead = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    List<FakeClient> idle = new ArrayList<>();
+    try (FakeClient first = program()) {
+      assertThat(first.ready()).isEqualTo(200);
+      for (int i = 0; i < 300; i++) {
+        // Half never ask, half ask once and stay.
+        FakeClient one = first.again();
+        idle.add(one);
+        if (i % 2 == 0) {
+          one.send("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        if (i % 20 == 0) {
+          try (FakeClient asks = first.again()) {
+            assertThat(asks.ask(scan("whole", "a" + i, 2900, 0.25, 0.25, 0.25, 0.25)).status()).as("after %d", i).isEqualTo(200);
+          }
+        }
+      }
+      site.discovery.calls.clear();
+      site.discovery.call("after=41");
+      site.discovery.instead = null;
+      site.discovery.change(site.servers.get(0), "Gone");
+      site.discovery.call("after=42");
+      signal("TERM");
+      endsWith0();
+      assertThat(site.errors.lines().filter(line -> line.contains("Too many open files") || line.contains("ERROR"))).isEmpty();
+    } finally {
+      for (FakeClient one : idle) {
+        one.close();
+      }
+    }
+  }
+
+  // ---- membership
+
+  @Test
+  void anAnswerWithoutALengthIsWholeByItsEndAndNeverByAReset() throws Exception {
+    site.askEveryMs = 6000;
+    String only1 = "HTTP/1.1 200 OK\r\n\r\n" + site.discovery.list(true).replace("41", "77").replace("Ready", "Terminating");
+    site.discovery.instead = only1;
+    site.discovery.resets = true;
+    site.start();
+    try (FakeClient client = site.client()) {
+      site.discovery.call("after=41");
+      // All of it is here, and would parse; what ends it is a reset.
+      assertThat(client.ask(scan("whole", "a", 2000, 1)).status()).isEqualTo(200);
+      site.discovery.awaitRead.release();
+      site.discovery.call("after=41");
+      assertThat(client.ask(scan("whole", "b", 2000, 1)).status()).isEqualTo(200);
+      site.discovery.resets = false;
+      site.discovery.awaitRead.release();
+      site.discovery.call("after=41");
+      site.discovery.awaitRead.release(100);
+      site.discovery.call("after=77");
+      assertThat(client.ask(scan("whole", "c", 2000, 1)).status()).isEqualTo(503);
+    }
+  }
+
+  @Test
+  void anIndentedListIsAList() throws Exception {
+    site.discovery.instead = FakeSite.FakeDiscovery.http(
+        site.discovery.list(true).replace("41", "77").replace(",", ",\r\n\t  ").replace("{", "{ \n"));
+    site.start();
+    site.discovery.call("after=41");
+    site.discovery.instead = null;
+    site.discovery.call("after=77");
+  }
+
+  @Test
+  void withoutAnyListItIsReadyWithinHalfItsBoundAndAnswersHonestly() throws Exception {
+    site.known = false;
+    site.discovery.listener.close();
+    site.start();
+    long start = System.nanoTime();
+    try (FakeClient client = site.client()) {
+      assertThat(client.ready()).isEqualTo(503);
+      assertThat(client.ask(scan("once", "a", 2000, 1)).status()).isEqualTo(503);
+      int status = 503;
+      while (status != 200) {
+        assertThat((System.nanoTime() - start) / 1_000_000).isLessThan(8000);
+        status = client.ready();
+      }
+      assertThat(client.ask(scan("once", "b", 2000, 1)).status()).isEqualTo(503);
+    }
+  }
+}
--- a/gatherer/src/test/java/tidebank/FakeHost.java
+++ b/gatherer/src/test/java/tidebank/FakeHost.java
@@ -4,6 +4,7 @@
 import java.io.BufferedReader;
 import java.io.DataInputStream;
 import java.io.EOFException;
+import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
@@ -193,6 +194,8 @@
   final Map<String, Object> file = new LinkedHashMap<>(Map.of("name", "n0", "listen", "127.0.0.1:0",
       "seed", "8c1f30d27a5be964"));
   int sockets = 1024;
+  /** Whether the program is started under a limit of descriptors that binds. */
+  boolean limited;
   int bundleMost = 1;
   int askEveryMs = 12_000;
   int targetMs = 1000;
@@ -254,6 +257,11 @@
         .toString(), "-ea", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
         System.getProperty("java.class.path"), "tidebank.Main"));
     command.addAll(List.of(args));
+    if (limited) {
+      // As many as it is told of, and those of the test's class path, which is a single jar in service.
+      int jars = System.getProperty("java.class.path").split(File.pathSeparator).length;
+      command.addAll(0, List.of("/bin/sh", "-c", "ulimit -n " + (sockets + jars) + "; exec \"$@\"", "sh"));
+    }
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().putAll(env);
     process = builder.start();
@@ -419,8 +427,12 @@
     final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
     /** What to answer in place of the list: raw HTTP, "" to say nothing. */
     volatile String instead;
+    /** How the connection ends behind what is answered instead: by a reset, or by an end that is whole; null: not. */
+    volatile Boolean resets;
     int version = 41;
     private String changed = "";
+    /** One permit lets one connection end. */
+    final java.util.concurrent.Semaphore awaitRead = new java.util.concurrent.Semaphore(0);
 
     FakeDiscovery(FakeSite site) {
       this.site = site;
@@ -437,6 +449,14 @@
           calls.add(path);
           String reply = settled != null ? settled : http(path.contains("after=") ? changes(path) : list(true));
           socket.getOutputStream().write(reply.getBytes(StandardCharsets.UTF_8));
+          Boolean reset = resets;
+          if (settled != null && reset != null) {
+            awaitRead.acquire();
+            if (reset) {
+              socket.setSoLinger(true, 0);
+            }
+            return;
+          }
         }
       }
     }
@@ -492,7 +512,16 @@
     private final InputStream in;
 
     FakeClient(InetSocketAddress address) throws IOException {
-      socket = new Socket(address.getAddress(), address.getPort());
+      this(address, 0);
+    }
+
+    /** One that takes in no more than about so many bytes before it reads; 0: as many as the system likes. */
+    FakeClient(InetSocketAddress address, int receives) throws IOException {
+      socket = new Socket();
+      if (receives > 0) {
+        socket.setReceiveBufferSize(receives);
+      }
+      socket.connect(address);
       socket.setSoTimeout(WAIT_MS);
       socket.setTcpNoDelay(true);
       in = new BufferedInputStream(socket.getInputStream());
