--- a/gatherer/src/main/java/tidebank/front/ClientSide.java
+++ b/gatherer/src/main/java/tidebank/front/ClientSide.java
@@ -63,7 +63,9 @@
   }
 
   private void accepted(Channel channel) {
-    boolean surplus = connections.size() >= config.budgets().clients() && !makeRoom();
+    // What makes room may itself have been beyond the budget, and then leaves none.
+    boolean surplus = connections.size() >= config.budgets().clients()
+        && !(makeRoom() && connections.size() < config.budgets().clients());
     ClientConnection connection = new ClientConnection(this, surplus);
     connections.add(connection);
     unasked.add(connection);
--- a/gatherer/src/test/java/tidebank/CrossingsTest.java
+++ b/gatherer/src/test/java/tidebank/CrossingsTest.java
@@ -368,6 +368,32 @@
     }
   }
 
+  @Test
+  void aRefusedClientThatStaysMakesNoRoomBeyondTheBudget() throws Exception {
+    silence();
+    FakeShardServer server = only();
+    site.sockets = 128;
+    site.targetMs = 10_000;
+    site.start();
+    List<FakeClient> all = new ArrayList<>();
+    try {
+      for (int i = 0; i < 64; i++) {
+        all.add(site.client().send(scan("whole", "b" + i, 29_000, 1)));
+        assertThat(server.next().letter()).isEqualTo('m');
+      }
+      for (int i = 0; i < 10; i++) {
+        FakeClient surplus = site.client();
+        all.add(surplus);
+        assertThat(surplus.ask(scan("whole", "c" + i, 2000, 1)).status()).isEqualTo(503);
+      }
+      assertThat(server.frames).isEmpty();
+    } finally {
+      for (FakeClient one : all) {
+        one.close();
+      }
+    }
+  }
+
   // ---- membership
 
   @Test
--- a/gatherer/src/test/java/tidebank/FakeHost.java
+++ b/gatherer/src/test/java/tidebank/FakeHost.java
@@ -262,6 +262,8 @@
       int jars = System.getProperty("java.class.path").split(File.pathSeparator).length;
       command.addAll(0, List.of("/bin/sh", "-c", "ulimit -n " + (sockets + jars) + "; exec \"$@\"", "sh"));
     }
+    // A JVM leaves a signal alone that it inherits as ignored, as under nohup, and so would never hear of SIGHUP.
+    command.addAll(0, List.of("env", "--default-signal=HUP"));
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().putAll(env);
     process = builder.start();
