Tests change the version of a list and no port that holds the same digits

Cause: 'list.malformed: dial of host s2: found 127.0.0.1:77771': the test replaced 41 by 77 anywhere in the list, in two of five runs also in a port. aVersionThatGoesBackStartsTheListAnew did the same with 7 (found by reading). Both now replace the field seq; what is checked is the same.

--- a/gatherer/src/test/java/tidebank/CrossingsTest.java
+++ b/gatherer/src/test/java/tidebank/CrossingsTest.java
@@ -399,7 +399,7 @@
   @Test
   void anAnswerWithoutALengthIsWholeByItsEndAndNeverByAReset() throws Exception {
     site.askEveryMs = 6000;
-    String only1 = "HTTP/1.1 200 OK\r\n\r\n" + site.discovery.list(true).replace("41", "77").replace("Ready", "Terminating");
+    String only1 = "HTTP/1.1 200 OK\r\n\r\n" + site.discovery.list(true).replace("\"seq\":41", "\"seq\":77").replace("Ready", "Terminating");
     site.discovery.instead = only1;
     site.discovery.resets = true;
     site.start();
@@ -423,7 +423,7 @@
   @Test
   void anIndentedListIsAList() throws Exception {
     site.discovery.instead = FakeSite.FakeDiscovery.http(
-        site.discovery.list(true).replace("41", "77").replace(",", ",\r\n\t  ").replace("{", "{ \n"));
+        site.discovery.list(true).replace("\"seq\":41", "\"seq\":77").replace(",", ",\r\n\t  ").replace("{", "{ \n"));
     site.start();
     site.discovery.call("after=41");
     site.discovery.instead = null;
--- a/gatherer/src/test/java/tidebank/GathererTest.java
+++ b/gatherer/src/test/java/tidebank/GathererTest.java
@@ -970,7 +970,7 @@
   void aVersionThatGoesBackStartsTheListAnew() throws Exception {
     site.start();
     site.discovery.call("after=41");
-    site.discovery.instead = FakeSite.FakeDiscovery.http(site.discovery.list(false).replace("41", "7"));
+    site.discovery.instead = FakeSite.FakeDiscovery.http(site.discovery.list(false).replace("\"seq\":41", "\"seq\":7"));
     site.discovery.change(site.servers.get(3), "Ready");
     site.discovery.call("after=42");
     site.discovery.instead = null;
