A sound crossing keeps its test: what came in time is taken by a loop that stood still

Suspected by reading, for 'no final answer' on herd (0 attempts): that timers which are due behind a stall fire before what arrived meanwhile is read, and close a connection over its unread request. Tried: timers that are late by more than a tick give way to one more pass of the loop. The test passes without it, as Netty fetches due tasks at the start of a round, behind the reading; so the change is left out and the test stays. The cause of that one lost scan is open.

--- a/gatherer/src/test/java/tidebank/CrossingsTest.java
+++ b/gatherer/src/test/java/tidebank/CrossingsTest.java
@@ -174,6 +174,25 @@
     leaver.close();
   }
 
+  // ---- a loop that stood still
+
+  @Test
+  void whatCameInTimeIsTakenAlthoughTheLoopStoodStillPastTheTimeForIt() throws Exception {
+    site.start();
+    try (FakeClient asks = site.client(); FakeClient first = site.client()) {
+      // By this answer both are accepted, and the time for their first requests runs.
+      assertThat(asks.ready()).isEqualTo(200);
+      CountDownLatch go = standStill();
+      first.send(scan("whole", "a", 29_000, 0.5, 0.5));
+      long late = System.nanoTime() + 2_700_000_000L;
+      while (System.nanoTime() < late) {
+        Thread.onSpinWait();
+      }
+      go.countDown();
+      assertThat(first.read().status()).isEqualTo(200);
+    }
+  }
+
   // ---- closing over bytes that were not read
 
   @Test
