Three more crossings, sound: sent on up to the end, a dial behind its scan, a late first answer

A part that waits for its dial counts as out for the module, so a non-replayable scan is abandoned, not throttled, where its time ends before the dial does: honest, and priced as a refusal.

--- a/gatherer/src/test/java/tidebank/CrossingsTest.java
+++ b/gatherer/src/test/java/tidebank/CrossingsTest.java
@@ -349,6 +349,111 @@
     }
   }
 
+  @Test
+  void onConnectionsThatAreSentOnUpToTheEndEachRequestIsAnsweredOrNeverSentOn() throws Exception {
+    java.util.Set<String> unanswered = java.util.concurrent.ConcurrentHashMap.newKeySet();
+    try (FakeClient first = program()) {
+      assertThat(first.ready()).isEqualTo(200);
+      List<Thread> clients = new ArrayList<>();
+      CountDownLatch asked = new CountDownLatch(8);
+      for (int i = 0; i < 8; i++) {
+        FakeClient one = first.again();
+        String name = "c" + i;
+        Thread asks = new Thread(() -> {
+          String id = "";
+          try (one) {
+            for (int n = 0; ; n++) {
+              id = name + "x" + n;
+              if (one.ask(scan("once", id, 2900, 0.5, 0.5)).status() != 200) {
+                unanswered.add("refused " + id);
+              }
+              asked.countDown();
+            }
+          } catch (IOException ended) {
+            unanswered.add(id);
+          }
+        });
+        clients.add(asks);
+        asks.start();
+      }
+      asked.await();
+      signal("TERM");
+      for (Thread client : clients) {
+        client.join();
+      }
+      endsWith0();
+    }
+    // One a client: the request that crossed the end of its connection, which its client may send again elsewhere.
+    assertThat(unanswered).hasSize(8).noneMatch(id -> id.startsWith("refused"));
+    for (FakeShardServer server : site.servers) {
+      assertThat(server.frames).noneMatch(frame -> unanswered.contains(frame.part().split("[.]")[0]));
+    }
+  }
+
+  // ---- repeats
+
+  @Test
+  void aLateAnswerOfTheFirstBehindTheSecondsIsDroppedAndItsConnectionHolds() throws Exception {
+    silence();
+    site.start();
+    try (FakeClient client = site.client()) {
+      client.send(scan("whole", "a", 2900, 1));
+      Frame first = frameOf("a.0");
+      // Nothing was heard for the time that a straggler has: a copy goes to the other replica.
+      Frame second = frameOf("a.0");
+      assertThat(second.socket()).isNotSameAs(first.socket());
+      second.answer("good", "the second");
+      assertThat(client.read().body()).contains("the second");
+      first.answer("good", "the first");
+      site.servers.forEach(server -> server.answers = true);
+      int before = site.servers.stream().mapToInt(server -> server.accepted.get()).sum();
+      for (int i = 0; i < 8; i++) {
+        assertThat(client.ask(scan("whole", "b" + i, 2900, 1)).body()).contains("value of b" + i + ".0");
+      }
+      // Each replica of shard 0 has one connection, or a new one in place of that which had been silent.
+      assertThat(site.servers.stream().mapToInt(server -> server.accepted.get()).sum() - before).isLessThanOrEqualTo(1);
+    }
+  }
+
+  private Frame frameOf(String part) {
+    while (true) {
+      for (FakeShardServer server : site.servers) {
+        Frame frame = server.frames.poll();
+        if (frame != null && frame.letter() == 'm' && frame.part().equals(part)) {
+          return frame;
+        }
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  @Test
+  void aDialThatComesUpWhenItsScanIsOverCarriesNothingOfIt() throws Exception {
+    try (java.net.ServerSocket full = new java.net.ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"));
+        java.net.Socket one = new java.net.Socket("127.0.0.1", full.getLocalPort());
+        java.net.Socket two = new java.net.Socket("127.0.0.1", full.getLocalPort())) {
+      FakeShardServer server = only();
+      server.listener.close();
+      server.listener = full;
+      site.limits.put("connectTimeoutMs", 5000);
+      site.start();
+      try (FakeClient client = site.client(); FakeClient other = site.client()) {
+        // The module can't tell a part that waits for its dial from one that is out, so it makes no promise.
+        assertThat(client.ask(scan("once", "over", 300, 1)).status()).isEqualTo(500);
+        other.send(scan("once", "here", 2900, 1));
+        assertThat(client.ready()).isEqualTo(200);
+        full.accept().close();
+        full.accept().close();
+        try (java.net.Socket up = full.accept()) {
+          up.setSoTimeout(FakeSite.WAIT_MS);
+          java.io.DataInputStream in = new java.io.DataInputStream(up.getInputStream());
+          assertThat(new String(in.readNBytes(in.readInt()), "UTF-8")).startsWith("mhere.0");
+        }
+      }
+      assertThat(one.isConnected() && two.isConnected()).isTrue();
+    }
+  }
+
   // ---- descriptors
 
   @Test
