A client that keeps its side open past its last answer holds the end up shortly only

Half-closed connections were waited for until the promised end, 0.2 s before SIGKILL, where a client kept its side open.

--- a/gatherer/src/main/java/tidebank/front/ClientConnection.java
+++ b/gatherer/src/main/java/tidebank/front/ClientConnection.java
@@ -58,6 +58,10 @@
     return exchanges.isEmpty() && headAt == 0;
   }
 
+  boolean lingers() {
+    return lingering;
+  }
+
   long restsSince() {
     return restsSince;
   }
--- a/gatherer/src/main/java/tidebank/front/ClientSide.java
+++ b/gatherer/src/main/java/tidebank/front/ClientSide.java
@@ -169,9 +169,13 @@
     }
   }
 
-  /** Closes whatever is left. */
-  public void close() {
-    List.copyOf(connections).forEach(ClientConnection::close);
+  /** Closes those that have had their last answer since before this moment; all that are left at the end of time. */
+  public void close(long since) {
+    for (ClientConnection connection : List.copyOf(connections)) {
+      if (since == Long.MAX_VALUE || connection.lingers() && connection.restsSince() <= since) {
+        connection.close();
+      }
+    }
   }
 
   /** How many connections are left. */
--- a/gatherer/src/main/java/tidebank/node/Gatherer.java
+++ b/gatherer/src/main/java/tidebank/node/Gatherer.java
@@ -59,6 +59,7 @@
   private InetSocketAddress address;
   private boolean stopping;
   private volatile long endBy;
+  private long lingerUs;
   private boolean closed;
 
   private Gatherer(NodeConfig config, OperatorFile own) {
@@ -189,6 +190,7 @@
         clients.drain();
         ShutdownPlan plan = new ShutdownPlan(config.settings(), clock.now(), timers.latenessUs());
         endBy = plan.endBy;
+        lingerUs = plan.lingerUs;
         turn.ending(endBy);
         timers.set(Timers.timer(this::noMoreRequests), plan.closeAt);
       }
@@ -222,9 +224,8 @@
 
   /** Answers are on their way; their connections close once they are written and read, and at the end in any case. */
   private void waitForClients() {
-    if (clock.now() >= endBy) {
-      clients.close();
-    }
+    long now = clock.now();
+    clients.close(now >= endBy ? Long.MAX_VALUE : now - lingerUs);
     if (clients.open() > 0) {
       timers.set(Timers.timer(() -> turn.whenIdle(this::waitForClients)), clock.now() + config.settings().tickUs());
       return;
--- a/gatherer/src/main/java/tidebank/node/ShutdownPlan.java
+++ b/gatherer/src/main/java/tidebank/node/ShutdownPlan.java
@@ -19,6 +19,8 @@
   final long closeAt;
   /** When all that was taken is answered, and all that is left is closed. */
   final long endBy;
+  /** For how long a client that has its last answer is waited for to end its side. */
+  final long lingerUs;
 
   /**
    * A plan of a shutdown that we hear of now. What was due in this process so long ago that it waited for {@code lateUs}
@@ -27,6 +29,7 @@
   ShutdownPlan(Settings settings, long now, long lateUs) {
     long told = now - lateUs;
     long free = Math.round(STRAGGLERS_US * FREE);
+    lingerUs = free;
     closeAt = Math.max(now, told + STRAGGLERS_US - free / 2);
     endBy = Math.max(now, told + Math.min(settings.slowestUs(), LONGEST_US) + STRAGGLERS_US - free);
   }
--- a/gatherer/src/test/java/tidebank/CrossingsTest.java
+++ b/gatherer/src/test/java/tidebank/CrossingsTest.java
@@ -302,6 +302,28 @@
     }
   }
 
+  @Test
+  void aClientThatKeepsItsSideOpenPastItsLastAnswerIsWaitedForShortlyOnly() throws Exception {
+    silence();
+    FakeShardServer server = only();
+    try (FakeClient stays = program(); FakeClient waits = stays.again()) {
+      stays.send(scan("once", "a", 2900, 1));
+      Frame first = server.next();
+      waits.send(scan("once", "b", 2900, 1));
+      Frame second = server.next();
+      signal("TERM");
+      log("stopping");
+      first.answer("good", "x");
+      assertThat(stays.read().status()).isEqualTo(200);
+      second.answer("good", "y");
+      assertThat(waits.read().status()).isEqualTo(200);
+      // Both are still open on our side; the program ends well before the time that it was promised.
+      long answered = System.nanoTime();
+      endsWith0();
+      assertThat((System.nanoTime() - answered) / 1_000_000).isLessThan(2000);
+    }
+  }
+
   @Test
   void whoComesAtSigtermIsServedWhatHangsIsAbandonedAndItEndsWith0() throws Exception {
     silence();
--- a/gatherer/src/test/java/tidebank/FakeHost.java
+++ b/gatherer/src/test/java/tidebank/FakeHost.java
@@ -400,8 +400,10 @@
           byte[] bytes = in.readNBytes(in.readInt());
           Frame frame = new Frame((char) bytes[0],
               new String(bytes, 1, bytes.length - 1, StandardCharsets.UTF_8), socket);
+          // How it is answered is settled before the test hears of it.
+          boolean settled = answers;
           frames.add(frame);
-          if (answers && frame.letter == 'm') {
+          if (settled && frame.letter == 'm') {
             frame.answer("good", "value of " + frame.part());
           }
         }
