A fleet's watches no longer crowd discovery: longer waits above 25 instances, answers awaited

At fault, ListCalls: a hundred idle watches renewed each 2.5 s are 40 calls a second where discovery can serve one of each instance in 2 to 8 s, and answers were given up after 2 s, which is as long as discovery lets calls queue, so that what it wrote then counted as told and was not read.

Change: a confirmed watch of n instances waits n / 10 s at the least; a first answer may take 4 s, others 2.25 s beyond the wait; the backoff is bounded by what the failed call took already, so a quick 503 may be followed by 5 s and a silent call by 0.25 s.

--- a/gatherer/src/main/java/tidebank/Brain.java
+++ b/gatherer/src/main/java/tidebank/Brain.java
@@ -97,6 +97,8 @@
   private boolean following;
   private boolean followAnswered;
   private long askAt;
+  /** When the call to discovery that is out was made. */
+  private long calledAt;
 
   public Brain(Settings settings, long seed) {
     this.settings = settings;
@@ -107,7 +109,7 @@
     this.typical = shortestTarget * TYPICAL_START;
     this.service = typical;
     this.recent = typical;
-    this.listCalls = new ListCalls(settings.rules());
+    this.listCalls = new ListCalls(settings);
   }
 
   /** Takes what happened and returns what to do. */
@@ -160,11 +162,12 @@
       if (!lost) {
         listCalls.reset();
       }
-      askAt = lost ? now + listCalls.failedUs(chance.next()) : now;
+      askAt = lost ? now + listCalls.failedUs(now - calledAt, chance.next()) : now;
       return;
     }
     if (list.kind() != Event.ListKind.REMEMBERED) {
       followAnswered = true;
+      calledAt = now;
       listCalls.reset();
     }
     fleet.take(list);
@@ -733,6 +736,7 @@
         following = true;
         followAnswered = false;
         askAt = now;
+        calledAt = now;
       }
       wakeAt = Math.min(wakeAt, !following ? askAt
           : followAnswered ? Long.MAX_VALUE : askAt + settings.rules().askEveryUs());
--- a/gatherer/src/main/java/tidebank/discovery/DiscoverySide.java
+++ b/gatherer/src/main/java/tidebank/discovery/DiscoverySide.java
@@ -70,7 +70,7 @@
       Counters counters) {
     this.transport = config.transport();
     this.address = config.discovery();
-    this.times = new ListCalls(config.settings().rules());
+    this.times = new ListCalls(config.settings());
     this.chance = new Chance(config.seed());
     this.unasked = !config.settings().limits().listOnRequest();
     this.template = template;
@@ -130,7 +130,7 @@
   private void call() {
     boolean watch = version >= 0;
     long wait = times.waitUs(confirmed);
-    timers.set(late, clock.now() + (watch ? wait : 0) + times.answerUs());
+    timers.set(late, clock.now() + (watch ? wait : 0) + times.answerUs(confirmed));
     String path = !watch ? PATH : PATH + "?after=" + version + "&wait_ms=" + wait / 1000;
     if (link == null) {
       link = new Link(path);
