Log why client connections and requests end, long passes, and each shutdown's plan

Need: an accepted request was lost in pre-production, and nothing in the logs told when a client left, what had been sent for it by then, why a connection was closed, how long a pass of the event loop took, or with what lateness a shutdown was planned.

Change: RequestTrace logs each request by its id at debug level (taken, answered, client left, connection closed and why), and at info level what ended behind its client's time; passes of 0.1 s with requests held and timers as late are logged and counted (passes.long, timers.late, front.left-early, front.left-unanswered, front.answered-late); a shutdown says its plan.

One test read the first line of the log and met a long pass before listening; passes are now reported only where requests are held.

--- a/gatherer/src/main/java/tidebank/front/ClientConnection.java
+++ b/gatherer/src/main/java/tidebank/front/ClientConnection.java
@@ -60,6 +60,8 @@
   private boolean asked;
   private boolean ending;
 
+  private RequestTrace trace;
+
   /**
    * Its last answer is written; what still comes is read and dropped until the client ends or its
    * time is up.
@@ -75,6 +77,10 @@
     return channel.alloc();
   }
 
+  RequestTrace trace() {
+    return trace;
+  }
+
   boolean isIdle() {
     return exchanges.isEmpty() && headAt == 0;
   }
@@ -95,7 +101,8 @@
     return connectedAt;
   }
 
-  void close() {
+  void close(String why) {
+    trace.closed(why, exchanges.size(), headAt != 0);
     side.left(this);
     channel.close();
   }
@@ -103,6 +110,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
+    trace = new RequestTrace(side, channel);
     connectedAt = side.clock.now();
     acceptedInPass = side.driver.pass();
     acceptedSince = side.driver.arrivedSince();
@@ -167,6 +175,7 @@
   private void took(FullHttpRequest request, long at) {
     Exchange exchange = new Exchange(this);
     exchanges.add(exchange);
+    trace.read();
     ending = !HttpUtil.isKeepAlive(request);
     long wholeAt = arrivedSince();
     if (!asked) {
@@ -254,8 +263,8 @@
       side.counters.add("front.rejected");
       reject(exchange, HttpResponseStatus.BAD_REQUEST, "X-Correlation-Id is in use");
     } else if (side.driver.scanTaken(scan, exchange)) {
-      side.counters.add("scans.taken");
-      exchange.scan = scan.id();
+      exchange.scan = scan;
+      trace.taken(scan);
     } else {
       side.counters.add("front.refused-full");
       exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, "as much is held as may be");
@@ -343,10 +352,14 @@
   /** The client is gone, and what it asked for is wanted no longer. */
   private void left() {
     side.timers.clear(slow);
+    if (!(ending && lingering)) {
+      trace.ended(exchanges.size(), headAt != 0);
+    }
     side.left(this);
     for (Exchange exchange : exchanges) {
       if (exchange.scan != null) {
-        side.driver.scanLapsed(exchange.scan);
+        trace.left(exchange.scan);
+        side.driver.scanLapsed(exchange.scan.id());
       }
       if (exchange.response != null) {
         exchange.response.release();
@@ -359,6 +372,6 @@
 
   private void slow() {
     side.counters.add("front.closed-slow");
-    close();
+    close("request or reader too slow");
   }
 }
--- a/gatherer/src/main/java/tidebank/front/ClientSide.java
+++ b/gatherer/src/main/java/tidebank/front/ClientSide.java
@@ -140,7 +140,7 @@
     ClientConnection last = late || resting.isEmpty() ? silent : resting.iterator().next();
     if (last != null) {
       counters.add("front.closed-for-room");
-      last.close();
+      last.close("room for a new one");
     }
     return last != null;
   }
@@ -161,7 +161,7 @@
     if (resting.size() > config.budgets().resting()
         && clock.now() - longest.restsSince() >= transport.restLeastUs()) {
       counters.add("front.closed-rested");
-      longest.close();
+      longest.close("rested longest of many");
     }
   }
 
@@ -197,7 +197,7 @@
     listener.close();
     for (ClientConnection connection : List.copyOf(connections)) {
       if (connection.isIdle()) {
-        connection.close();
+        connection.close("shutdown, no request");
       }
     }
   }
@@ -209,7 +209,7 @@
   public void close(long since) {
     for (ClientConnection connection : List.copyOf(connections)) {
       if (since == Long.MAX_VALUE || connection.lingers() && connection.restsSince() <= since) {
-        connection.close();
+        connection.close("shutdown, last answer given or time over");
       }
     }
   }
--- a/gatherer/src/main/java/tidebank/front/Exchange.java
+++ b/gatherer/src/main/java/tidebank/front/Exchange.java
@@ -18,6 +18,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tidebank.node.Reply;
+import tidebank.node.ScanRequest;
 
 /** One request on a client's connection and, once it is there, its response. */
 final class Exchange implements Reply {
@@ -26,8 +27,8 @@
 
   private final ClientConnection connection;
 
-  /** The id of the scan that the turn took from it, or null. */
-  String scan;
+  /** The scan that was taken from it and is not answered yet, or null. */
+  ScanRequest scan;
 
   FullHttpResponse response;
 
@@ -100,6 +101,9 @@
   private void finish(FullHttpResponse made, String type) {
     made.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
     made.headers().set(HttpHeaderNames.CONTENT_LENGTH, made.content().readableBytes());
+    if (scan != null) {
+      connection.trace().answered(scan, made.status().code());
+    }
     scan = null;
     response = made;
     connection.flush();
--- a/gatherer/src/main/java/tidebank/node/Gatherer.java
+++ b/gatherer/src/main/java/tidebank/node/Gatherer.java
@@ -220,10 +220,15 @@
         () -> {
           if (!stopping) {
             stopping = true;
-            LOG.info("stopping");
+            long now = clock.now();
+            long lateUs = timers.latenessUs();
             clients.drain();
-            ShutdownPlan plan =
-                new ShutdownPlan(config.settings(), clock.now(), timers.latenessUs());
+            ShutdownPlan plan = new ShutdownPlan(config.settings(), now, lateUs);
+            LOG.info(
+                "stopping: requests are let in for {} ms, answered within {} ms; late by {} ms",
+                (plan.closeAt - now) / 1000,
+                (plan.endBy - now) / 1000,
+                lateUs / 1000);
             endBy = plan.endBy;
             lingerUs = plan.lingerUs;
             driver.ending(endBy);
--- a/gatherer/src/main/java/tidebank/node/HeldScan.java
+++ b/gatherer/src/main/java/tidebank/node/HeldScan.java
@@ -18,6 +18,9 @@
   /** Null once the scan has had its final answer or its client has left. */
   Reply reply;
 
+  /** When the latest dispatch of it was begun. */
+  long lastSentAt;
+
   HeldScan(ScanRequest request, long number, Reply reply) {
     this.request = request;
     this.number = number;
--- a/gatherer/src/main/java/tidebank/node/PolicyDriver.java
+++ b/gatherer/src/main/java/tidebank/node/PolicyDriver.java
@@ -27,6 +27,10 @@
  */
 public final class PolicyDriver {
   private static final Logger LOG = LoggerFactory.getLogger(PolicyDriver.class);
+
+  /** A pass that takes so long is worth a line. */
+  private static final long LONG_PASS_US = 100_000;
+
   private final Settings settings;
   private final Clock clock;
   private final Timers timers;
@@ -110,6 +114,17 @@
             .anyMatch(range -> parts.containsKey(HeldPart.id(request, range)));
   }
 
+  /** What was sent so far for a scan that is held, for the log. */
+  public String dispatches(String id) {
+    HeldScan scan = scans.get(id);
+    if (scan == null) {
+      return "dispatches=-";
+    }
+    int begun = scan.parts.values().stream().mapToInt(part -> part.requests.size()).sum();
+    long ago = begun == 0 ? -1 : (clock.now() - scan.lastSentAt) / 1000;
+    return "dispatches=" + begun + " last_sent_ms_ago=" + ago;
+  }
+
   /** The client of a scan has left. */
   public void scanLapsed(String id) {
     HeldScan scan = scans.get(id);
@@ -218,10 +233,18 @@
     if (!events.isEmpty()) {
       decide();
     }
-    passes.ended(clock.now());
+    reportLongPass(passes.ended(clock.now()));
     checkIdle();
   }
 
+  /** What clients or servers did meanwhile is seen by the next poll only. */
+  private void reportLongPass(long tookUs) {
+    if (tookUs >= LONG_PASS_US && !scans.isEmpty()) {
+      counters.add("passes.long");
+      LOG.info("a pass of the event loop took {} ms", tookUs / 1000);
+    }
+  }
+
   private void decide() {
     List<Event> taken = events;
     events = new ArrayList<>();
@@ -323,6 +346,7 @@
             send.stopAt(),
             clock.now());
     part.requests.add(request);
+    part.scan.lastSentAt = request.askedAt;
     try {
       request.handle = shards.send(request);
     } catch (RuntimeException | VirtualMachineError fault) {
--- a/gatherer/src/main/java/tidebank/node/ReadPasses.java
+++ b/gatherer/src/main/java/tidebank/node/ReadPasses.java
@@ -30,10 +30,11 @@
     }
   }
 
-  /** All that the pass brought has been decided and carried out. */
-  void ended(long now) {
+  /** All that the pass brought has been decided and carried out; returns how long that took. */
+  long ended(long now) {
     open = false;
     previousEndedAt = now;
+    return now - beganAt;
   }
 
   /** The earliest moment at which what the present pass reads may have arrived. */
--- a/gatherer/src/main/java/tidebank/node/Timers.java
+++ b/gatherer/src/main/java/tidebank/node/Timers.java
@@ -19,6 +19,9 @@
    */
   private static final long EARLY_MOST_US = 1_000_000;
 
+  /** A wake-up that comes so late is worth a line: requests waited as long. */
+  private static final long LATE_US = 100_000;
+
   /** Something that is due at a time. It is set at most once at a time. */
   public abstract static class Timer {
     private long at;
@@ -107,6 +110,13 @@
     }
   }
 
+  private void reportLate(long lateUs) {
+    if (lateUs >= LATE_US) {
+      counters.add("timers.late");
+      LOG.info("the event loop was late by {} ms", lateUs / 1000);
+    }
+  }
+
   private void wake() {
     wakeUp = null;
     wakeAt = Long.MAX_VALUE;
@@ -114,6 +124,7 @@
     if (!waiting.isEmpty() && waiting.first().at <= now) {
       firedAt = now;
       firedLateUs = now - waiting.first().at;
+      reportLate(firedLateUs);
     }
     while (!waiting.isEmpty() && waiting.first().at <= now) {
       Timer due = waiting.pollFirst();
