--- a/gatherer/src/test/java/tidebank/FakeSite.java
+++ b/gatherer/src/test/java/tidebank/FakeSite.java
@@ -34,8 +34,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import org.assertj.core.api.Assertions;
+import tidebank.capture.DecisionLog;
 import tidebank.config.NodeConfig;
+import tidebank.model.Action;
+import tidebank.model.Event;
+import tidebank.model.Settings;
 import tidebank.node.Gatherer;
+import tidebank.node.PolicyDriver;
 
 /**
  * Small stand-ins on loopback ports of the system's choice: discovery, shard servers, a client; and
@@ -196,11 +201,9 @@
    * when this returns.
    */
   CountDownLatch stallEventLoop() throws Exception {
-    Field loop = Gatherer.class.getDeclaredField("loop");
-    loop.setAccessible(true);
     CountDownLatch stands = new CountDownLatch(1);
     CountDownLatch go = new CountDownLatch(1);
-    ((Executor) loop.get(gatherer))
+    eventLoop()
         .execute(
             () -> {
               stands.countDown();
@@ -214,6 +217,49 @@
     return go;
   }
 
+  /**
+   * Has the event loop stand still between the next decision that sends something and the sending,
+   * as a process that is cold or is stopped just then; {@code stands} is counted down once it does,
+   * and it goes on when {@code go} is.
+   */
+  void stallBeforeSending(CountDownLatch stands, CountDownLatch go) throws Exception {
+    Field field = Gatherer.class.getDeclaredField("driver");
+    field.setAccessible(true);
+    PolicyDriver driver = (PolicyDriver) field.get(gatherer);
+    CountDownLatch set = new CountDownLatch(1);
+    DecisionLog stall =
+        new DecisionLog() {
+          @Override
+          public void started(Settings settings, long seed) {
+            set.countDown();
+          }
+
+          @Override
+          public void turn(long nowUs, List<Event> events, List<Action> actions) {
+            if (actions.stream().noneMatch(Action.Send.class::isInstance)) {
+              return;
+            }
+            stands.countDown();
+            try {
+              go.await();
+            } catch (InterruptedException fault) {
+              Thread.currentThread().interrupt();
+            }
+          }
+
+          @Override
+          public void failed(long nowUs, List<Event> events, Throwable cause) {}
+        };
+    eventLoop().execute(() -> driver.log(stall));
+    set.await();
+  }
+
+  private Executor eventLoop() throws Exception {
+    Field loop = Gatherer.class.getDeclaredField("loop");
+    loop.setAccessible(true);
+    return (Executor) loop.get(gatherer);
+  }
+
   Gatherer gatherer() {
     return gatherer;
   }
