The end of a client is met before anything is sent for it

Gatherer set an allocator of its own for clients' read buffers, and such a one reads once a pass (Netty's own are set to 16 when a channel makes them), so the line 'read on until nothing is left' did not hold: a request was read in one pass, its client's FIN, that lay right behind it, in the next, and its parts were sent in between.

Change: clients' connections are read up to 16 times a pass. Connection.write asks PolicyDriver.aboutToWrite before the first byte of a call: a scan whose client was last read 10 ms ago or more (a tenth of the 0.1 s) has that connection read once more there, and lapses if the client has left. Cost: at most one read of a socket a scan and 10 ms, none where decisions are quick.

--- a/gatherer/src/main/java/tidebank/front/ClientConnection.java
+++ b/gatherer/src/main/java/tidebank/front/ClientConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
@@ -107,6 +108,13 @@
     channel.close();
   }
 
+  /** Reads what there is, also the client's end, without waiting for the next poll. */
+  void checkClient() {
+    if (channel instanceof AbstractNioChannel sockets && channel.isActive()) {
+      sockets.unsafe().read();
+    }
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
--- a/gatherer/src/main/java/tidebank/front/Exchange.java
+++ b/gatherer/src/main/java/tidebank/front/Exchange.java
@@ -84,6 +84,11 @@
     respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, "abandoned");
   }
 
+  @Override
+  public void checkClient() {
+    connection.checkClient();
+  }
+
   void respond(HttpResponseStatus status, String text) {
     respond(status, text, 0);
   }
--- a/gatherer/src/main/java/tidebank/node/Gatherer.java
+++ b/gatherer/src/main/java/tidebank/node/Gatherer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -44,6 +45,9 @@
   /** Chunks of 512 KiB: one arena of few chunks serves a gatherer. */
   private static final int CHUNK_ORDER = 6;
 
+  /** So often one client's connection is read in a pass at most; Netty's own figure. */
+  private static final int READS_A_PASS = 16;
+
   private final NodeConfig config;
   private final long reportUs;
   private final Clock clock = new Clock();
@@ -146,16 +150,8 @@
             .option(ChannelOption.SO_BACKLOG, config.budgets().clients())
             .childOption(ChannelOption.ALLOCATOR, allocator)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            // Read on until nothing is left: the end of a client that has left is met in the pass
-            // that reads its request.
             .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-            .childOption(
-                ChannelOption.RECVBUF_ALLOCATOR,
-                new AdaptiveRecvByteBufAllocator(
-                        config.budgets().readLeast(),
-                        config.budgets().readFirst(),
-                        config.budgets().readMost())
-                    .respectMaybeMoreData(false))
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, clientBuffers())
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark());
     loop.submit(
             () -> {
@@ -180,6 +176,19 @@
             + " shard servers");
   }
 
+  /**
+   * How a client's connection is read: on until nothing is left, so that the end of a client that
+   * has left is met in the pass that reads its request, before anything is sent for it. An
+   * allocator of one's own reads once a pass unless it is told otherwise.
+   */
+  private RecvByteBufAllocator clientBuffers() {
+    NodeConfig.Budgets budgets = config.budgets();
+    return new AdaptiveRecvByteBufAllocator(
+            budgets.readLeast(), budgets.readFirst(), budgets.readMost())
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(READS_A_PASS);
+  }
+
   private WriteBufferWaterMark waterMark() {
     return new WriteBufferWaterMark(config.budgets().writeLow(), config.budgets().writeHigh());
   }
--- a/gatherer/src/main/java/tidebank/node/HeldScan.java
+++ b/gatherer/src/main/java/tidebank/node/HeldScan.java
@@ -18,6 +18,9 @@
   /** Null once the scan has had its final answer or its client has left. */
   Reply reply;
 
+  /** When its client's connection was read last for it. */
+  long clientReadAt;
+
   /** When the latest dispatch of it was begun. */
   long lastSentAt;
 
--- a/gatherer/src/main/java/tidebank/node/PolicyDriver.java
+++ b/gatherer/src/main/java/tidebank/node/PolicyDriver.java
@@ -28,6 +28,12 @@
 public final class PolicyDriver {
   private static final Logger LOG = LoggerFactory.getLogger(PolicyDriver.class);
 
+  /**
+   * PROTOCOL: nothing is sent more than 0.1 s after a client closed. For a tenth of that what was
+   * read of a client's connection is good enough to send by.
+   */
+  private static final long CLIENT_READ_US = 10_000;
+
   /** A pass that takes so long is worth a line. */
   private static final long LONG_PASS_US = 100_000;
 
@@ -86,6 +92,7 @@
     }
     counters.must(!holds(request), "an id is held once");
     HeldScan scan = new HeldScan(request, ++numbers, reply);
+    scan.clientReadAt = clock.now();
     held += more;
     scans.put(request.id(), scan);
     parts.putAll(scan.parts);
@@ -135,6 +142,23 @@
     }
   }
 
+  /**
+   * The first byte of a dispatch is about to be written. The poll that brought what the decision
+   * rests on may be long over, as code may be cold and the process may have been held up: if the
+   * client has left meanwhile, its scan lapses here, and with it all that is not written.
+   */
+  public void aboutToWrite(DispatchRequest request) {
+    HeldScan scan = request.held.scan;
+    if (scan.reply == null || clock.now() - scan.clientReadAt < CLIENT_READ_US) {
+      return;
+    }
+    scan.clientReadAt = clock.now();
+    scan.reply.checkClient();
+    if (scan.reply == null) {
+      counters.add("scans.lapsed-before-writing");
+    }
+  }
+
   /** A dispatch has come to its one end; {@code value} is null unless it completed. */
   public void dispatchEnded(
       DispatchRequest request, Outcome outcome, byte[] value, Map<String, Double> report) {
--- a/gatherer/src/main/java/tidebank/node/Reply.java
+++ b/gatherer/src/main/java/tidebank/node/Reply.java
@@ -14,4 +14,10 @@
 
   /** No promise about its effect. */
   void abandoned();
+
+  /**
+   * Reads the client's connection once more, now: if the client has ended it since the last poll,
+   * the scan has lapsed when this returns.
+   */
+  void checkClient();
 }
--- a/gatherer/src/main/java/tidebank/shard/Connection.java
+++ b/gatherer/src/main/java/tidebank/shard/Connection.java
@@ -127,6 +127,8 @@
         side.counters.add("shard.dropped-for-drain");
         server.endAll(call, Outcome.NEVER_SENT);
       }
+      // What lapses here leaves the call.
+      List.copyOf(call.flights).forEach(inFlight -> side.driver.aboutToWrite(inFlight.request));
       if (call.flights.isEmpty()) {
         continue;
       }
--- a/gatherer/src/test/java/tidebank/PolicyDriverTest.java
+++ b/gatherer/src/test/java/tidebank/PolicyDriverTest.java
@@ -69,6 +69,9 @@
     replies.add("throttled");
   }
 
+  @Override
+  public void checkClient() {}
+
   @Override
   public void abandoned() {
     replies.add("abandoned");
