A timer set for a past time is no sign of a standstill

Cause: Timers keeps a timer by the time it is set for, and tells lateness by the first one's; a timer for a past time was late from the start. Server.closeFrom sets such a one with each list that names a server whose grace is over.

Change: a timer for a past time is due now.

--- a/gatherer/src/main/java/tidebank/node/Timers.java
+++ b/gatherer/src/main/java/tidebank/node/Timers.java
@@ -62,10 +62,12 @@
     this.counters = counters;
   }
 
-  /** Sets a timer, or moves it. */
+  /** Sets a timer, or moves it. One for a past time is due now. */
   public void set(Timer timer, long at) {
     clear(timer);
-    timer.at = at;
+    // It can't have been due before it was set: only what was is a sign that the process stood
+    // still.
+    timer.at = Math.max(at, clock.now());
     timer.order = ++orders;
     timer.set = true;
     waiting.add(timer);
--- a/gatherer/src/test/java/tidebank/node/TimersTest.java
+++ b/gatherer/src/test/java/tidebank/node/TimersTest.java
@@ -90,4 +90,12 @@
     assertThat(wakeUps).hasSize(1);
     assertThat(standing()).hasSize(1);
   }
+
+  @Test
+  void aTimerThatIsSetForAPastTimeTellsOfNoStandstill() {
+    timers.set(timer, clock.now() - 5 * SECOND);
+    assertThat(standing()).containsExactly(0L);
+    assertThat(timers.overdueUs()).isLessThan(SLACK);
+    assertThat(timers.latenessUs()).isLessThan(SLACK);
+  }
 }
