A failed accept is tried again within milliseconds, and the wait in the backlog counts

Change: Listener owns the listening socket: a fault pauses it for 1 ms, doubling up to 50 ms, not Netty's second; it knows since when connections may have waited, also while the budget of connections was used up, and a new connection's time runs from then. ClientSide keeps the budgets only.

--- a/gatherer/src/main/java/tidebank/front/ClientConnection.java
+++ b/gatherer/src/main/java/tidebank/front/ClientConnection.java
@@ -133,7 +133,7 @@
     trace = new RequestTrace(side, channel);
     connectedAt = side.clock.now();
     acceptedInPass = side.driver.pass();
-    acceptedSince = side.driver.arrivedSince();
+    acceptedSince = side.acceptedSince();
   }
 
   @Override
--- a/gatherer/src/main/java/tidebank/front/ClientSide.java
+++ b/gatherer/src/main/java/tidebank/front/ClientSide.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -43,7 +42,7 @@
    */
   private final Set<ClientConnection> resting = new LinkedHashSet<>();
 
-  private Channel listener;
+  private final Listener listener;
   private boolean draining;
   private boolean ended;
 
@@ -62,22 +61,19 @@
     this.ready = ready;
     this.reader = new ScanReader(config.settings());
     this.transport = config.transport();
+    this.listener = new Listener(clock, timers, counters);
   }
 
   /** Binds the listening socket. */
   public ChannelFuture listen(ServerBootstrap template) {
-    ChannelFuture binding =
-        template
-            .childHandler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    accepted(channel);
-                  }
-                })
-            .bind(config.listen());
-    listener = binding.channel();
-    return binding;
+    ChannelInitializer<Channel> connections =
+        new ChannelInitializer<>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            accepted(channel);
+          }
+        };
+    return listener.bind(template, config.listen(), connections);
   }
 
   private void accepted(Channel channel) {
@@ -91,9 +87,7 @@
       channel.pipeline().addLast(bodies(connection));
     }
     channel.pipeline().addLast(connection);
-    if (connections.size() >= config.budgets().clientsMost()) {
-      listener.config().setAutoRead(false);
-    }
+    listener.full(connections.size() >= config.budgets().clientsMost());
   }
 
   /** Tells a connection that a request begins, also one behind another's end. */
@@ -200,9 +194,7 @@
   void left(ClientConnection connection) {
     connections.remove(connection);
     asked(connection);
-    if (!ended && connections.size() < config.budgets().clientsMost()) {
-      listener.config().setAutoRead(true);
-    }
+    listener.full(connections.size() >= config.budgets().clientsMost());
   }
 
   /** Whether it can serve and is not ending. */
@@ -210,6 +202,11 @@
     return !draining && ready.getAsBoolean();
   }
 
+  /** Since when a connection that is accepted now, and what lies on it, may have waited. */
+  long acceptedSince() {
+    return listener.acceptedSince(driver.arrivedSince());
+  }
+
   int pipelineMost() {
     return config.budgets().pipelineMost();
   }
@@ -240,7 +237,7 @@
     int before;
     do {
       before = connections.size();
-      ((AbstractNioChannel) listener).unsafe().read();
+      listener.acceptNow();
     } while (connections.size() > before && connections.size() < config.budgets().clientsMost());
   }
 
--- a/gatherer/src/test/java/tidebank/AcceptBacklogTest.java
+++ b/gatherer/src/test/java/tidebank/AcceptBacklogTest.java
@@ -3,12 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static tidebank.FakeSite.FakeClient.scan;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.EOFException;
 import java.io.IOException;
-import java.lang.reflect.Field;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
 import java.nio.file.Files;
@@ -29,8 +27,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import tidebank.FakeSite.FakeClient;
 import tidebank.FakeSite.FakeShardServer;
-import tidebank.front.ClientSide;
-import tidebank.node.Gatherer;
 
 /**
  * Connections in the accept backlog, complete for the kernel and unknown to the process, as the
@@ -126,14 +122,6 @@
     }
   }
 
-  private Channel listener() throws Exception {
-    Field clientSide = Gatherer.class.getDeclaredField("clients");
-    Field listener = ClientSide.class.getDeclaredField("listener");
-    clientSide.setAccessible(true);
-    listener.setAccessible(true);
-    return (Channel) listener.get(clientSide.get(site.gatherer()));
-  }
-
   /** None, some or all of them are accepted, and some read, as the listener closes. */
   @ParameterizedTest
   @ValueSource(ints = {0, 1, 2, 3})
@@ -142,7 +130,7 @@
     CountDownLatch go = site.stallEventLoop();
     CompletableFuture<Void> stopped = site.gatherer().stop();
     if (passes > 0) {
-      listener().pipeline().addFirst(new StandsStillAfterAccepting(passes));
+      site.listener().pipeline().addFirst(new StandsStillAfterAccepting(passes));
     } else {
       // The shutdown begins, and then the loop stands still before it accepts anything.
       go.countDown();
--- a/gatherer/src/test/java/tidebank/AcceptFailureTest.java
+++ b/gatherer/src/test/java/tidebank/AcceptFailureTest.java
@@ -5,7 +5,6 @@
 
 import io.netty.channel.Channel;
 import java.io.IOException;
-import java.lang.reflect.Field;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -15,8 +14,6 @@
 import org.junit.jupiter.api.Timeout;
 import tidebank.FakeSite.FakeClient;
 import tidebank.FakeSite.FakeShardServer;
-import tidebank.front.ClientSide;
-import tidebank.node.Gatherer;
 
 /**
  * One accept that failed for a moment (too many open files in the system, no buffer space) kept a
@@ -70,11 +67,7 @@
 
   /** The next thing that the listener has to tell is that the system could not accept. */
   private void acceptFails() throws Exception {
-    Field clientSide = Gatherer.class.getDeclaredField("clients");
-    Field listener = ClientSide.class.getDeclaredField("listener");
-    clientSide.setAccessible(true);
-    listener.setAccessible(true);
-    Channel channel = (Channel) listener.get(clientSide.get(site.gatherer()));
+    Channel channel = site.listener();
     CountDownLatch told = new CountDownLatch(1);
     channel
         .eventLoop()
--- a/gatherer/src/test/java/tidebank/FakeSite.java
+++ b/gatherer/src/test/java/tidebank/FakeSite.java
@@ -1,5 +1,6 @@
 package tidebank;
 
+import io.netty.channel.Channel;
 import java.io.BufferedInputStream;
 import java.io.BufferedReader;
 import java.io.DataInputStream;
@@ -223,9 +224,7 @@
    * and it goes on when {@code go} is.
    */
   void stallBeforeSending(CountDownLatch stands, CountDownLatch go) throws Exception {
-    Field field = Gatherer.class.getDeclaredField("driver");
-    field.setAccessible(true);
-    PolicyDriver driver = (PolicyDriver) field.get(gatherer);
+    PolicyDriver driver = (PolicyDriver) field(gatherer, "driver");
     CountDownLatch set = new CountDownLatch(1);
     DecisionLog stall =
         new DecisionLog() {
@@ -255,9 +254,18 @@
   }
 
   private Executor eventLoop() throws Exception {
-    Field loop = Gatherer.class.getDeclaredField("loop");
-    loop.setAccessible(true);
-    return (Executor) loop.get(gatherer);
+    return (Executor) field(gatherer, "loop");
+  }
+
+  /** The gatherer's listening socket. */
+  Channel listener() throws Exception {
+    return (Channel) field(field(field(gatherer, "clients"), "listener"), "channel");
+  }
+
+  private static Object field(Object owner, String name) throws Exception {
+    Field field = owner.getClass().getDeclaredField(name);
+    field.setAccessible(true);
+    return field.get(owner);
   }
 
   Gatherer gatherer() {
