--- a/gatherer/src/main/java/tidebank/front/ClientSide.java
+++ b/gatherer/src/main/java/tidebank/front/ClientSide.java
@@ -246,12 +246,16 @@
    * end of time.
    */
   public void close(long since) {
+    boolean all = since == Long.MAX_VALUE;
     for (ClientConnection connection : List.copyOf(connections)) {
-      if (since == Long.MAX_VALUE && connection.isUnfinished()) {
+      if (connection.lingers() && (all || connection.restsSince() <= since)) {
+        // A close over bytes that were not read resets the connection, and the answer with it.
+        connection.checkClient();
+        connection.close("shutdown, last answer given");
+      } else if (all && connection.isUnfinished()) {
         connection.endUnfinished();
-      } else if (since == Long.MAX_VALUE
-          || connection.lingers() && connection.restsSince() <= since) {
-        connection.close("shutdown, last answer given or time over");
+      } else if (all) {
+        connection.close("shutdown, time over");
       }
     }
   }
