--- a/gatherer/src/main/java/tidebank/front/ClientConnection.java
+++ b/gatherer/src/main/java/tidebank/front/ClientConnection.java
@@ -11,8 +11,6 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -21,8 +19,6 @@
 import java.util.ArrayDeque;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import tidebank.front.ScanReader.Rejected;
-import tidebank.node.ScanRequest;
 import tidebank.node.Timers;
 
 /**
@@ -208,7 +204,7 @@
       side.asked(this);
     }
     try {
-      answer(exchange, request, at, wholeAt);
+      side.router.route(this, exchange, request, at, wholeAt);
     } catch (RuntimeException | VirtualMachineError fault) {
       side.counters.add("front.failed");
       LOG.error("a request failed", fault);
@@ -218,24 +214,6 @@
     }
   }
 
-  private void answer(Exchange exchange, FullHttpRequest request, long at, long wholeAt) {
-    // A transfer coding that is left here is none that Netty has read.
-    if (request.decoderResult().isFailure()
-        || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-      side.counters.add("front.malformed");
-      reject(exchange, HttpResponseStatus.BAD_REQUEST, "no valid HTTP");
-      return;
-    }
-    String path = request.uri().split("[?]", 2)[0];
-    if (path.startsWith("/health/")) {
-      health(exchange, path);
-    } else if (!request.method().equals(HttpMethod.POST)) {
-      reject(exchange, HttpResponseStatus.METHOD_NOT_ALLOWED, "scans come by POST");
-    } else {
-      scan(exchange, request, path, at, wholeAt);
-    }
-  }
-
   /** Whether an interim response would stand in its place: no response is due before it. */
   boolean mayContinue() {
     return exchanges.isEmpty() && !ending;
@@ -251,7 +229,7 @@
    * What is no request of this protocol ends its connection: whoever goes on like that holds no
    * place here.
    */
-  private void reject(Exchange exchange, HttpResponseStatus status, String text) {
+  void reject(Exchange exchange, HttpResponseStatus status, String text) {
     ending = true;
     exchange.respond(status, text);
   }
@@ -266,44 +244,12 @@
     exchange.respond(status, text);
   }
 
-  private void health(Exchange exchange, String path) {
-    if (path.equals("/health/live") || path.equals("/health/ready") && side.ready()) {
-      exchange.respond(HttpResponseStatus.OK, "ok");
-    } else if (path.equals("/health/ready")) {
-      exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
-    } else {
-      exchange.respond(HttpResponseStatus.NOT_FOUND, "unknown path");
-    }
-  }
-
-  private void scan(
-      Exchange exchange, FullHttpRequest request, String path, long at, long wholeAt) {
-    ScanRequest scan;
-    try {
-      scan = side.reader.read(request, path.substring(1).split("/", 2)[0], at, wholeAt);
-    } catch (Rejected fault) {
-      side.counters.add("front.rejected");
-      reject(exchange, HttpResponseStatus.valueOf(fault.status), fault.getMessage());
-      return;
-    }
-    if (side.driver.holds(scan)) {
-      side.counters.add("front.rejected");
-      reject(exchange, HttpResponseStatus.BAD_REQUEST, "X-Correlation-Id is in use");
-    } else if (side.driver.scanTaken(scan, exchange)) {
-      exchange.scan = scan;
-      trace.taken(scan);
-    } else {
-      side.counters.add("front.refused-full");
-      exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, "as much is held as may be");
-    }
-  }
-
   /** Writes the responses that are there, as far as none before them is still missing. */
   void flush() {
     boolean wrote = false;
     while (!exchanges.isEmpty() && exchanges.peek().response != null) {
       FullHttpResponse response = exchanges.poll().response;
-      boolean last = exchanges.isEmpty() && (surplus || ending || side.ended());
+      boolean last = exchanges.isEmpty() && endsHere();
       HttpUtil.setKeepAlive(response, !last);
       wrote = true;
       if (last) {
@@ -325,6 +271,11 @@
     }
   }
 
+  /** At a shutdown a request that is read in part still gets its own answer. */
+  private boolean endsHere() {
+    return surplus || ending || side.ended() && !isUnfinished();
+  }
+
   /** An answer that is not read has its time as a request has. */
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
--- a/gatherer/src/main/java/tidebank/front/ClientSide.java
+++ b/gatherer/src/main/java/tidebank/front/ClientSide.java
@@ -29,6 +29,7 @@
   final Timers timers;
   final Counters counters;
   final ScanReader reader;
+  final RequestRouter router;
   final NodeConfig.Transport transport;
   private final NodeConfig config;
   private final BooleanSupplier ready;
@@ -60,6 +61,7 @@
     this.counters = counters;
     this.ready = ready;
     this.reader = new ScanReader(config.settings());
+    this.router = new RequestRouter(this);
     this.transport = config.transport();
     this.listener = new Listener(clock, timers, counters);
   }
--- a/gatherer/src/main/java/tidebank/node/PolicyDriver.java
+++ b/gatherer/src/main/java/tidebank/node/PolicyDriver.java
@@ -34,15 +34,13 @@
    */
   private static final long CLIENT_READ_US = 10_000;
 
-  /** A pass that takes so long is worth a line. */
-  private static final long LONG_PASS_US = 100_000;
-
   private final Settings settings;
   private final Clock clock;
   private final Timers timers;
   private final EventLoop loop;
   private final Counters counters;
   private final ReadPasses passes;
+  private final StallReport stalls;
   private final Runnable run = this::run;
   private final Map<String, HeldScan> scans = new HashMap<>();
   private final Map<String, HeldPart> parts = new HashMap<>();
@@ -69,6 +67,7 @@
     this.counters = counters;
     this.policy = new RoutingPolicy(settings, seed);
     this.passes = new ReadPasses(settings.tickUs());
+    this.stalls = new StallReport(counters);
   }
 
   /** Has every turn told from now on, which is before the first. */
@@ -257,16 +256,11 @@
     if (!events.isEmpty()) {
       decide();
     }
-    reportLongPass(passes.ended(clock.now()));
-    checkIdle();
-  }
-
-  /** What clients or servers did meanwhile is seen by the next poll only. */
-  private void reportLongPass(long tookUs) {
-    if (tookUs >= LONG_PASS_US && !scans.isEmpty()) {
-      counters.add("passes.long");
-      LOG.info("a pass of the event loop took {} ms", tookUs / 1000);
+    long tookUs = passes.ended(clock.now());
+    if (!scans.isEmpty()) {
+      stalls.pass(tookUs);
     }
+    checkIdle();
   }
 
   private void decide() {
--- a/gatherer/src/main/java/tidebank/node/Timers.java
+++ b/gatherer/src/main/java/tidebank/node/Timers.java
@@ -19,9 +19,6 @@
    */
   private static final long EARLY_MOST_US = 1_000_000;
 
-  /** A wake-up that comes so late is worth a line: requests waited as long. */
-  private static final long LATE_US = 100_000;
-
   /** Something that is due at a time. It is set at most once at a time. */
   public abstract static class Timer {
     private long at;
@@ -49,6 +46,7 @@
   private final EventLoop loop;
   private final Clock clock;
   private final Counters counters;
+  private final StallReport stalls;
   private final Runnable wake = this::wake;
   private ScheduledFuture<?> wakeUp;
   private long wakeAt = Long.MAX_VALUE;
@@ -60,6 +58,7 @@
     this.loop = loop;
     this.clock = clock;
     this.counters = counters;
+    this.stalls = new StallReport(counters);
   }
 
   /** Sets a timer, or moves it. One for a past time is due now. */
@@ -112,13 +111,6 @@
     }
   }
 
-  private void reportLate(long lateUs) {
-    if (lateUs >= LATE_US) {
-      counters.add("timers.late");
-      LOG.info("the event loop was late by {} ms", lateUs / 1000);
-    }
-  }
-
   private void wake() {
     wakeUp = null;
     wakeAt = Long.MAX_VALUE;
@@ -126,7 +118,7 @@
     if (!waiting.isEmpty() && waiting.first().at <= now) {
       firedAt = now;
       firedLateUs = now - waiting.first().at;
-      reportLate(firedLateUs);
+      stalls.wakeUp(firedLateUs);
     }
     while (!waiting.isEmpty() && waiting.first().at <= now) {
       Timer due = waiting.pollFirst();
