A client that leaves since a further dispatch was decided: test

Change: a third case of DepartedClientTest, with a server that says nothing and connections to all servers up.

--- a/gatherer/src/test/java/tidebank/DepartedClientTest.java
+++ b/gatherer/src/test/java/tidebank/DepartedClientTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import tidebank.CrossingsTest.End;
 import tidebank.FakeSite.FakeClient;
 import tidebank.FakeSite.FakeShardServer;
@@ -85,6 +86,52 @@
     go.countDown();
   }
 
+  @ParameterizedTest
+  @EnumSource(End.class)
+  void noFurtherDispatchIsSentForAClientThatLeftSinceItWasDecided(End end) throws Exception {
+    site.start();
+    connectAllServers();
+    site.servers.forEach(server -> server.answers = false);
+    FakeClient leaver = site.client();
+    leavers.add(leaver);
+    leaver.send(scan("whole", "gone", 2900, 1));
+    awaitFirstDispatch();
+    CountDownLatch stands = new CountDownLatch(1);
+    CountDownLatch go = new CountDownLatch(1);
+    site.stallBeforeSending(stands, go);
+    // Its server says nothing, so that it is sent to another.
+    stands.await();
+    end.end(leaver);
+    TimeUnit.MILLISECONDS.sleep(PASS_MS);
+    site.servers.forEach(server -> server.answers = true);
+    go.countDown();
+    try (FakeClient stays = site.client()) {
+      assertThat(stays.ask(scan("whole", "stays", 2900, 0.5, 0.5)).status()).isEqualTo(200);
+    }
+    for (FakeShardServer server : site.servers) {
+      assertThat(server.frames)
+          .noneMatch(frame -> frame.letter() == 'm' && frame.rest().startsWith("gone"));
+    }
+  }
+
+  /** Asks until there is a connection to each shard server. */
+  private void connectAllServers() throws Exception {
+    try (FakeClient client = site.client()) {
+      for (int i = 0; site.servers.stream().anyMatch(server -> server.accepted.get() == 0); i++) {
+        String request = scan("whole", "before" + i, 2900, 0.25, 0.25, 0.25, 0.25);
+        assertThat(client.ask(request).status()).isEqualTo(200);
+      }
+    }
+    site.servers.forEach(server -> server.frames.clear());
+  }
+
+  /** Takes the one frame of the scan that is out. */
+  private void awaitFirstDispatch() {
+    while (site.servers.stream().noneMatch(server -> server.frames.poll() != null)) {
+      Thread.onSpinWait();
+    }
+  }
+
   /** A client leaves while the pass that has read and decided its request is under way. */
   private void leaveInPass(End end) throws Exception {
     FakeClient leaver = site.client();
