--- a/gatherer/src/test/java/tidebank/GathererSoakTest.java
+++ b/gatherer/src/test/java/tidebank/GathererSoakTest.java
@@ -125,10 +125,7 @@
     }
     String port = line.replaceAll(".*127.0.0.1:(\\d+).*", "$1");
     // A full pipe would stop the process.
-    background(
-        () -> {
-          while (site.errors.readLine() != null) {}
-        });
+    background(() -> site.errors.lines().forEach(text -> {}));
     return new InetSocketAddress("127.0.0.1", Integer.parseInt(port));
   }
 
