--- a/lab/src/test/java/tidebank/lab/chaos/ChaosTest.java
+++ b/lab/src/test/java/tidebank/lab/chaos/ChaosTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Every script that comes with the program, played on processes; and one whose stewards are outside
@@ -24,7 +25,8 @@
 @Timeout(180)
 class ChaosTest {
   /** Scripts that are played by a test of their own name (KNOWN-RED.txt). */
-  private static final Set<String> NAMED = Set.of("disk-older", "stewards-most-gone");
+  private static final Set<String> NAMED =
+      Set.of("disk-older", "stewards-most-gone", "links-flap", "leaders-stopped");
 
   @TempDir private Path folder;
 
@@ -62,6 +64,14 @@
     allThatIsPromisedHolds("stewards-most-gone");
   }
 
+  /** On their own, so that they have a name: on a full machine each stood still for 30 s. */
+  @Execution(ExecutionMode.CONCURRENT)
+  @ParameterizedTest
+  @ValueSource(strings = {"links-flap", "leaders-stopped"})
+  void allThatIsPromisedHoldsWhereLinksFlapOrLeadersAreStopped(String name) throws Exception {
+    allThatIsPromisedHolds(name);
+  }
+
   @Execution(ExecutionMode.CONCURRENT)
   @Test
   void aStewardWhoseClockIsWrongerThanStatedIsFoundAndTheRunSaysHowToPlayItAgain()
