Review case 3: streams, idle time, reports and cold start as the site has them

Cause: the settings of the case were not those of its site in four figures that the case doesn't need. Change: arlberg's settings in review/standins/Sites.java. No product code.

--- a/review/standins/Sites.java
+++ b/review/standins/Sites.java
@@ -49,10 +49,10 @@
         + "\"specifics\":{\"bundleMax\":2,\"callMs\":0.2,\"classNeed\":[1.0,1.0,1.0,1.0],\"floorByClass\":[1.0,1.0,0.5,0.75],"
         + "\"incompleteWorth\":[0.9,0.9,0.8,0.9],\"positions\":" + servers + ",\"secondStep\":[0,0,0,0],\"slices\":" + servers
         + ",\"warmKeys\":false,\"width\":3},"
-        + "\"limits\":{\"cancel\":false,\"connectTimeoutMs\":250.0,\"keepaliveMs\":30000.0,\"maxAttempts\":2,"
-        + "\"maxRetryAfterMs\":1000.0,\"maxStreams\":32,\"mayProbe\":false,\"mostHeld\":185,\"peers\":false,"
-        + "\"retryAfter\":true,\"secondCopies\":false},\"report\":{\"columns\":[],\"how\":\"off\"},"
-        + "\"guarantees\":{\"answerSlackMs\":20.0,\"askEveryMs\":10000.0,\"coldFrom\":0.3,\"coldMs\":16000.0,"
+        + "\"limits\":{\"cancel\":false,\"connectTimeoutMs\":250.0,\"keepaliveMs\":15000.0,\"maxAttempts\":2,"
+        + "\"maxRetryAfterMs\":1000.0,\"maxStreams\":4,\"mayProbe\":false,\"mostHeld\":185,\"peers\":false,"
+        + "\"retryAfter\":true,\"secondCopies\":false},\"report\":{\"columns\":[\"rif\",\"q\"],\"how\":\"inline\"},"
+        + "\"guarantees\":{\"answerSlackMs\":20.0,\"askEveryMs\":10000.0,\"coldFrom\":0.21,\"coldMs\":18000.0,"
         + "\"fallMultiple\":2.0,\"stopSendingWithinMs\":1500.0,\"tipAfterMs\":2000.0}}";
   }
 
