Shard connections: attempts that are given up do not arrive later

Cause: an attempt counted as over once the router had given it up, while its frame still lay half written at the router or whole in the system's send buffer. A cancel frame was put behind it, and the connection stayed open; a server that had stopped reading got both when it went on. The end of the query closed the connection for half-written frames of attempts that were still open only, and by a plain close, which delivers what the send buffer holds. Change: a connection is closed as soon as an attempt on it is given up whose frame may not have reached the server's system: it is half written, or it ends over 4,096 bytes (the smallest receive buffer of Linux) behind the last byte that a response shows to be read (DeliveryTracker, pure). Any close of a connection that the server is not known to have read to its end is a reset (SO_LINGER 0), also after a protocol error, a drain, for idleness and at a shutdown. What else was sent on it may have run. New counters: shard.closed-undelivered, shard.reset-failed.

--- a/router/src/main/java/tidebank/backend/BatchWriter.java
+++ b/router/src/main/java/tidebank/backend/BatchWriter.java
@@ -1,5 +1,6 @@
 package tidebank.backend;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -15,14 +16,20 @@
   private final ShardConnection connection;
   private final ConnectionPool pool;
   private final BackendContext context;
+  private final OutboundStream outbound;
   private final ChannelFutureListener writeListener = this::writeCompleted;
   private final ArrayDeque<RequestBatch> queuedBatches = new ArrayDeque<>();
   private RequestBatch currentBatch;
 
-  BatchWriter(ShardConnection connection, ConnectionPool pool, BackendContext context) {
+  BatchWriter(
+      ShardConnection connection,
+      ConnectionPool pool,
+      BackendContext context,
+      OutboundStream outbound) {
     this.connection = connection;
     this.pool = pool;
     this.context = context;
+    this.outbound = outbound;
   }
 
   void enqueue(RequestBatch batch) {
@@ -60,9 +67,9 @@
   private void write(Channel channel, RequestBatch batch, long now) {
     currentBatch = batch;
     connection.writeStarted(batch, now);
-    channel
-        .writeAndFlush(FrameCodec.encodeBatch(channel.alloc(), batch.attempts(), now))
-        .addListener(writeListener);
+    ByteBuf frame = FrameCodec.encodeBatch(channel.alloc(), batch.attempts(), now);
+    batch.setEndPosition(outbound.recordWrite(frame));
+    channel.writeAndFlush(frame).addListener(writeListener);
   }
 
   /** Handles the end of a write: the frame was written completely, or the write failed. */
--- a/router/src/main/java/tidebank/backend/HealthCheckQueue.java
+++ b/router/src/main/java/tidebank/backend/HealthCheckQueue.java
@@ -1,5 +1,6 @@
 package tidebank.backend;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import java.util.ArrayDeque;
 import java.util.Map;
@@ -14,13 +15,16 @@
   private final ShardConnection connection;
   private final String server;
   private final BackendContext context;
+  private final OutboundStream outbound;
   private final ArrayDeque<HealthCheck> outstanding = new ArrayDeque<>();
   private final TimerQueue.Timer timeout = TimerQueue.timer(this::timedOut);
 
-  HealthCheckQueue(ShardConnection connection, String server, BackendContext context) {
+  HealthCheckQueue(
+      ShardConnection connection, String server, BackendContext context, OutboundStream outbound) {
     this.connection = connection;
     this.server = server;
     this.context = context;
+    this.outbound = outbound;
   }
 
   boolean isEmpty() {
@@ -47,8 +51,9 @@
   }
 
   void write(Channel channel, byte type) {
-    channel.writeAndFlush(
-        FrameCodec.encodeHealthCheck(channel.alloc(), type), channel.voidPromise());
+    ByteBuf frame = FrameCodec.encodeHealthCheck(channel.alloc(), type);
+    outbound.recordWrite(frame);
+    channel.writeAndFlush(frame, channel.voidPromise());
   }
 
   /**
--- a/router/src/main/java/tidebank/backend/InFlightAttempt.java
+++ b/router/src/main/java/tidebank/backend/InFlightAttempt.java
@@ -87,18 +87,28 @@
   private void abort(Outcome outcomeIfWritten) {
     if (stage == Stage.QUEUED) {
       batch.pool().complete(this, Outcome.NOT_SENT, null);
-    } else if (stage != Stage.COMPLETED) {
+    } else if (stage == Stage.WRITING || mayBeUndelivered()) {
+      // A cancel frame would arrive behind the attempt's own frame.
+      batch.pool().complete(this, outcomeIfWritten, null);
+      batch.connection().closeUndelivered();
+    } else if (stage == Stage.SENT) {
       batch.connection().cancel(this);
       batch.pool().complete(this, outcomeIfWritten, null);
     }
   }
 
+  private boolean mayBeUndelivered() {
+    return stage == Stage.SENT && batch.connection().mayBeUndelivered(batch);
+  }
+
   @Override
-  public void dropUnsent() {
+  public void dropUndelivered() {
     if (stage == Stage.QUEUED) {
       batch.pool().complete(this, Outcome.NOT_SENT, null);
     } else if (stage == Stage.WRITING) {
-      batch.connection().closeIfWriting();
+      batch.connection().closeUndelivered();
+    } else if (mayBeUndelivered()) {
+      abort(Outcome.CANCELLED);
     }
   }
 }
--- a/router/src/main/java/tidebank/backend/RequestBatch.java
+++ b/router/src/main/java/tidebank/backend/RequestBatch.java
@@ -14,6 +14,9 @@
   private final List<InFlightAttempt> attemptsView = Collections.unmodifiableList(attempts);
   private ShardConnection connection;
 
+  /** Where the frame ends in the byte stream of the connection, once its write has started. */
+  private long endPosition;
+
   RequestBatch(ConnectionPool pool) {
     this.pool = pool;
   }
@@ -49,6 +52,14 @@
     return connection;
   }
 
+  long endPosition() {
+    return endPosition;
+  }
+
+  void setEndPosition(long position) {
+    endPosition = position;
+  }
+
   void assignTo(ShardConnection assigned) {
     connection = assigned;
   }
--- a/router/src/main/java/tidebank/backend/ResponseMatcher.java
+++ b/router/src/main/java/tidebank/backend/ResponseMatcher.java
@@ -9,19 +9,26 @@
 
 /** Matches the responses on one connection to the attempts that were written to it. */
 final class ResponseMatcher {
+  /**
+   * A cancelled shard request, to which a late response may arrive.
+   *
+   * @param until when a response becomes a protocol error, in microseconds
+   * @param endPosition where the frame of the request ends in the byte stream of the connection
+   */
+  private record CancelledRequest(long until, long endPosition) {}
+
   private final ConnectionPool pool;
   private final BackendContext context;
+  private final OutboundStream outbound;
   private final Map<String, InFlightAttempt> inFlight = new HashMap<>();
 
-  /**
-   * The ids of cancelled shard requests, mapped to the time in microseconds until which a response
-   * is not a protocol error; the oldest first.
-   */
-  private final Map<String, Long> cancelledUntil = new LinkedHashMap<>();
+  /** The cancelled shard requests by id, the oldest first. */
+  private final Map<String, CancelledRequest> cancelled = new LinkedHashMap<>();
 
-  ResponseMatcher(ConnectionPool pool, BackendContext context) {
+  ResponseMatcher(ConnectionPool pool, BackendContext context, OutboundStream outbound) {
     this.pool = pool;
     this.context = context;
+    this.outbound = outbound;
   }
 
   void add(InFlightAttempt attempt) {
@@ -32,15 +39,17 @@
     inFlight.remove(attempt.requestId(), attempt);
   }
 
-  /** Records a cancelled shard request, so that a late response to it is not an error. */
-  void expectLateResponse(String requestId, long now) {
-    cancelledUntil.values().removeIf(until -> until <= now);
-    cancelledUntil.put(requestId, now + context.lateResponseWindowUs());
+  /** Records a cancelled attempt, so that a late response to it is not an error. */
+  void expectLateResponse(InFlightAttempt attempt, long now) {
+    cancelled.values().removeIf(request -> request.until() <= now);
+    cancelled.put(
+        attempt.requestId(),
+        new CancelledRequest(now + context.lateResponseWindowUs(), attempt.batch().endPosition()));
   }
 
   /** Returns how many responses may still arrive, late ones to cancelled requests included. */
   int awaitedCount() {
-    return inFlight.size() + cancelledUntil.size();
+    return inFlight.size() + cancelled.size();
   }
 
   /**
@@ -55,12 +64,22 @@
     }
     InFlightAttempt attempt = inFlight.get(response.requestId());
     if (attempt != null) {
+      if (attempt.isSent()) {
+        outbound.recordRead(attempt.batch().endPosition());
+      }
       pool.complete(attempt, response.outcome(), response.value(), response.loadReport());
-    } else if (cancelledUntil.remove(response.requestId()) != null) {
-      context.counters().increment("shard.answers-not-awaited");
     } else {
+      receiveLate(response);
+    }
+  }
+
+  private void receiveLate(FrameCodec.Response response) throws MalformedInputException {
+    CancelledRequest request = cancelled.remove(response.requestId());
+    if (request == null) {
       throw new MalformedInputException("response matches no request in flight");
     }
+    outbound.recordRead(request.endPosition());
+    context.counters().increment("shard.answers-not-awaited");
   }
 
   private boolean containsAwaitedResponse(byte[] value) {
@@ -68,7 +87,7 @@
   }
 
   private boolean isAwaited(String requestId) {
-    return inFlight.containsKey(requestId) || cancelledUntil.containsKey(requestId);
+    return inFlight.containsKey(requestId) || cancelled.containsKey(requestId);
   }
 
   /** Completes all sent attempts with this outcome; they may have executed. */
--- a/router/src/main/java/tidebank/backend/ShardConnection.java
+++ b/router/src/main/java/tidebank/backend/ShardConnection.java
@@ -29,6 +29,7 @@
   private final ConnectionPool pool;
   private final BackendContext context;
   private final FrameDecoder decoder;
+  private final OutboundStream outbound;
   private final BatchWriter writer;
   private final ResponseMatcher responses;
   private final HealthCheckQueue healthChecks;
@@ -49,9 +50,10 @@
     this.context = context;
     this.decoder =
         new FrameDecoder(context.transport().maxBodyBytes() + FrameCodec.MAX_HEADER_BYTES);
-    this.writer = new BatchWriter(this, pool, context);
-    this.responses = new ResponseMatcher(pool, context);
-    this.healthChecks = new HealthCheckQueue(this, pool.server(), context);
+    this.outbound = new OutboundStream(context.counters());
+    this.writer = new BatchWriter(this, pool, context, outbound);
+    this.responses = new ResponseMatcher(pool, context, outbound);
+    this.healthChecks = new HealthCheckQueue(this, pool.server(), context, outbound);
     this.frames = new FrameReceiver(this, decoder, responses, healthChecks, context);
   }
 
@@ -138,13 +140,28 @@
     lastUsedAt = now;
   }
 
-  /**
-   * Closes the connection if a frame is partly written: only closing keeps the server from
-   * receiving the rest.
-   */
+  /** Returns whether a batch that was written may not have reached the server's system yet. */
+  boolean mayBeUndelivered(RequestBatch batch) {
+    return outbound.mayBeUndelivered(batch.endPosition());
+  }
+
+  /** Closes the connection if a frame is partly written. */
   void closeIfWriting() {
     if (writer.isWriting()) {
-      context.counters().increment("shard.closed-while-writing");
+      closeUndelivered();
+    }
+  }
+
+  /**
+   * Closes the connection because an attempt has ended whose frame the server may not have received
+   * completely. Only closing keeps the rest from being delivered later.
+   */
+  void closeUndelivered() {
+    if (state != State.CLOSED) {
+      context
+          .counters()
+          .increment(
+              writer.isWriting() ? "shard.closed-while-writing" : "shard.closed-undelivered");
       close();
     }
   }
@@ -157,11 +174,12 @@
   /** Notifies the shard server of a cancelled attempt if the deployment permits cancellation. */
   void cancel(InFlightAttempt attempt) {
     long now = context.clock().now();
-    responses.expectLateResponse(attempt.requestId(), now);
+    responses.expectLateResponse(attempt, now);
     if (context.cancellation() && channel.isActive()) {
       lastUsedAt = now;
-      channel.writeAndFlush(
-          FrameCodec.encodeCancel(channel.alloc(), attempt.requestId()), channel.voidPromise());
+      ByteBuf frame = FrameCodec.encodeCancel(channel.alloc(), attempt.requestId());
+      outbound.recordWrite(frame);
+      channel.writeAndFlush(frame, channel.voidPromise());
     }
   }
 
@@ -251,7 +269,7 @@
 
   void close() {
     if (channel != null) {
-      channel.close();
+      outbound.close(channel);
     }
     closed();
   }
--- a/router/src/main/java/tidebank/runtime/AttemptRequest.java
+++ b/router/src/main/java/tidebank/runtime/AttemptRequest.java
@@ -79,25 +79,25 @@
     }
   }
 
-  /** Drops the attempt unless it has been written completely. */
-  void dropUnsent() {
+  /** Drops the attempt unless it has reached the shard server. */
+  void dropUndelivered() {
     if (!completed) {
-      handle.dropUnsent();
+      handle.dropUndelivered();
     }
   }
 
   /** Controls an attempt that the backend has accepted. */
   public interface Handle {
     /**
-     * Stops waiting for the response. Notifies the shard server if the attempt was written and the
-     * deployment permits cancellation.
+     * Stops waiting for the response. Notifies the shard server if the attempt has reached it and
+     * the deployment permits cancellation; closes the connection if it may not have arrived.
      */
     void cancel();
 
     /**
-     * Drops the attempt unless it has been written completely. A partly written one closes its
-     * connection, so that the shard server does not get the rest.
+     * Drops the attempt unless it has reached the shard server. One that is written but may not
+     * have arrived closes its connection, so that it does not arrive later.
      */
-    void dropUnsent();
+    void dropUndelivered();
   }
 }
--- a/router/src/main/java/tidebank/runtime/PendingQueries.java
+++ b/router/src/main/java/tidebank/runtime/PendingQueries.java
@@ -75,7 +75,7 @@
   }
 
   /**
-   * Closes a query and drops its attempts that have not been written completely. Returns the
+   * Closes a query and drops its attempts that have not reached their shard servers. Returns the
    * callback for its final response.
    */
   ResponseCallback close(PendingQuery query) {
@@ -83,7 +83,7 @@
     queries.remove(query.id());
     pendingCount -= countWithShardRequests(query.request());
     for (PendingShardRequest shardRequest : query.shardRequests()) {
-      shardRequest.dropUnsent();
+      shardRequest.dropUndelivered();
       removeIfDone(shardRequest);
     }
     return callback;
--- a/router/src/main/java/tidebank/runtime/PendingShardRequest.java
+++ b/router/src/main/java/tidebank/runtime/PendingShardRequest.java
@@ -70,11 +70,11 @@
     return true;
   }
 
-  /** Drops the attempts that have not been written completely. */
-  void dropUnsent() {
+  /** Drops the attempts that have not reached their shard servers. */
+  void dropUndelivered() {
     // Iterates over a copy, as dropping an attempt completes it, which may use the list again.
     for (AttemptRequest attempt : List.copyOf(attempts)) {
-      attempt.dropUnsent();
+      attempt.dropUndelivered();
     }
   }
 
--- a/router/src/test/java/tidebank/CounterNamesFixtureTest.java
+++ b/router/src/test/java/tidebank/CounterNamesFixtureTest.java
@@ -113,7 +113,7 @@
       public void cancel() {}
 
       @Override
-      public void dropUnsent() {}
+      public void dropUndelivered() {}
     };
   }
 
--- a/router/src/test/java/tidebank/FakeSite.java
+++ b/router/src/test/java/tidebank/FakeSite.java
@@ -1,6 +1,7 @@
 package tidebank;
 
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import java.io.BufferedInputStream;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
@@ -30,7 +31,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -38,6 +38,7 @@
 import org.assertj.core.api.Assertions;
 import tidebank.capture.DecisionLog;
 import tidebank.config.RouterConfig;
+import tidebank.metrics.Counters;
 import tidebank.model.Action;
 import tidebank.model.Event;
 import tidebank.model.Settings;
@@ -283,8 +284,25 @@
     installed.await();
   }
 
-  private Executor eventLoop() throws Exception {
-    return (Executor) readField(router, "loop");
+  private EventLoop eventLoop() throws Exception {
+    return (EventLoop) readField(router, "loop");
+  }
+
+  /** Waits until the router in this process has incremented this counter. */
+  void awaitCounter(String name) throws Exception {
+    Counters counters = (Counters) readField(router, "counters");
+    while (eventLoop().submit(() -> counters.get(name)).get() == 0) {
+      Thread.sleep(1);
+    }
+  }
+
+  /**
+   * Waits for the end of the event loop's current pass. A channel that was closed during the pass
+   * releases its socket only then.
+   */
+  void awaitEndOfPass() throws Exception {
+    // A scheduled task runs in the pass after the one in which it was added, at the earliest.
+    eventLoop().schedule(() -> {}, 1, TimeUnit.MILLISECONDS).get();
   }
 
   /** Returns the channel of the router's listening socket. */
--- a/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
+++ b/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
@@ -26,6 +26,7 @@
   /** The classes that decide. A new one is added here. */
   private static final Set<String> DECIDE =
       Set.of(
+          "tidebank.backend.DeliveryTracker",
           "tidebank.capture.BlockReader",
           "tidebank.capture.BlockWriter",
           "tidebank.capture.CaptureDecoder",
