--- a/router/src/main/java/tidebank/backend/ShardConnection.java
+++ b/router/src/main/java/tidebank/backend/ShardConnection.java
@@ -153,8 +153,8 @@
   }
 
   /**
-   * Closes the connection because an attempt has ended whose frame the server may not have received
-   * completely. Only closing keeps the rest from being delivered later.
+   * Closes the connection because an attempt has ended and the server may not have received its
+   * frame completely. Only closing keeps the rest from being delivered later.
    */
   void closeUndelivered() {
     if (state != State.CLOSED) {
--- a/router/src/test/java/tidebank/AbandonedAttemptTest.java
+++ b/router/src/test/java/tidebank/AbandonedAttemptTest.java
@@ -38,7 +38,7 @@
   /** More than the receive buffer of the stopped server holds. */
   private static final int LARGE_BYTES = 60_000;
 
-  /** Queries whose frames together exceed the send buffer of a connection, of up to 4 MiB. */
+  /** A number of queries that exceeds the send buffer of a connection, which has up to 4 MiB. */
   private static final int QUERIES_BEYOND_SEND_BUFFER = 100;
 
   private final FakeSite site = new FakeSite();
@@ -93,7 +93,7 @@
     /**
      * Reads every connection to its end.
      *
-     * @return the ids of the shard requests whose frames arrived completely
+     * @return the ids of the shard requests in frames that arrived completely
      */
     List<String> readToEnd() throws Exception {
       List<String> received = new ArrayList<>();
@@ -135,6 +135,11 @@
     server.serverSocket = stopped.listener;
   }
 
+  private void startWithOnlyStoppedServer() throws IOException {
+    replaceByStoppedServer(site.keepOnlyServer1());
+    site.start();
+  }
+
   private static String largeQueryRequest(String queryClass, String id, int timeoutMs) {
     return postRequest(
         "/" + queryClass,
@@ -145,13 +150,12 @@
             + "\"}");
   }
 
-  /** Guards against a second effect after the window for repeats: the whole frame is buffered. */
+  /** Guards against a second effect after the window for repeats: the send buffer has the frame. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void bufferedFrameIsNotDeliveredAfterItsTimeout(boolean cancellation) throws Exception {
     site.limits.put("cancel", cancellation);
-    replaceByStoppedServer(site.keepOnlyServer1());
-    site.start();
+    startWithOnlyStoppedServer();
     try (FakeClient client = site.connectClient()) {
       assertThat(client.sendAndRead(largeQueryRequest("once", "a", 500)).status()).isIn(500, 503);
     }
@@ -164,8 +168,7 @@
   @ValueSource(booleans = {true, false})
   void bufferedFrameIsNotDeliveredAfterClientDisconnect(boolean cancellation) throws Exception {
     site.limits.put("cancel", cancellation);
-    replaceByStoppedServer(site.keepOnlyServer1());
-    site.start();
+    startWithOnlyStoppedServer();
     try (FakeClient client = site.connectClient()) {
       client.send(largeQueryRequest("once", "a", 3000));
       stopped.awaitData();
@@ -194,8 +197,7 @@
   @Test
   void halfWrittenFrameIsNotCompletedAfterItsTimeout() throws Exception {
     site.limits.put("mostHeld", 1000);
-    replaceByStoppedServer(site.keepOnlyServer1());
-    site.start();
+    startWithOnlyStoppedServer();
     List<FakeClient> clients = new ArrayList<>();
     for (int i = 0; i < QUERIES_BEYOND_SEND_BUFFER; i++) {
       FakeClient client = site.connectClient();
