--- a/review/standins-2/src/standins/Run.java
+++ b/review/standins-2/src/standins/Run.java
@@ -29,6 +29,7 @@
   private final long startNanos = System.nanoTime();
   private final PrintWriter record;
   private final List<RouterProcess> routers = new ArrayList<>();
+  private final List<Process> others = new ArrayList<>();
 
   /** The code of a case. Returns an exit code. */
   interface Case {
@@ -48,13 +49,13 @@
   static void main(String[] args, Case played) {
     int code = COULD_NOT_RUN;
     try (Run run = new Run(Path.of(args[0]), Path.of(args[1]))) {
-      Runtime.getRuntime().addShutdownHook(new Thread(run::killRouters));
+      Runtime.getRuntime().addShutdownHook(new Thread(run::killAll));
       Thread limit =
           new Thread(
               () -> {
                 sleep(110_000);
                 run.note("the run took too long");
-                run.killRouters();
+                run.killAll();
                 Runtime.getRuntime().halt(COULD_NOT_RUN);
               });
       limit.setDaemon(true);
@@ -97,9 +98,17 @@
     return router;
   }
 
-  private void killRouters() {
+  /** Has another process ended at the end of the run. */
+  void addProcess(Process process) {
+    synchronized (routers) {
+      others.add(process);
+    }
+  }
+
+  private void killAll() {
     synchronized (routers) {
       routers.forEach(RouterProcess::kill);
+      others.forEach(Process::destroyForcibly);
     }
   }
 
@@ -119,7 +128,7 @@
 
   @Override
   public void close() throws IOException {
-    killRouters();
+    killAll();
     record.close();
     try (Stream<Path> files = Files.walk(temp)) {
       for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
