Review case 8: after a stall, requests get their final answer a second after their time

Cause: the time at which a request may have arrived is only put back for a stall if a timer was overdue; a router that was at rest when it was stopped takes the request for new, and its deadline is late by the stall.

Change: the case with its stand-in. No product code.

--- a/review/standins-2/src/standins/Settings.java
+++ b/review/standins-2/src/standins/Settings.java
@@ -10,6 +10,7 @@
   int width = 3;
   int bundleMax = 1;
   int instances = 2;
+  int rank;
   int maxAttempts = 3;
   boolean secondCopies = true;
   int mostHeld = 185;
@@ -64,7 +65,9 @@
         + guarantees
         + ",\"instances\":"
         + instances
-        + ",\"rank\":0,\"layers\":[\"trace-fleet\"],\"tier\":0,\"tickMs\":5.0,"
+        + ",\"rank\":"
+        + rank
+        + ",\"layers\":[\"trace-fleet\"],\"tier\":0,\"tickMs\":5.0,"
         + "\"limits\":{\"cancel\":true,\"connectTimeoutMs\":250.0,\"keepaliveMs\":30000.0,"
         + "\"maxAttempts\":"
         + maxAttempts
