Review case 6: clients that stop in the middle of a request hang the router

Cause: the bodies of incomplete requests are bounded for each connection only. Some hundred of them take all direct memory, and the event loop then waits half a second in each allocation.

Change: the case with its stand-in comes first, as the gravest; the others move on by one. No product code.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 here=$(CDPATH= cd -- "$(dirname -- "$0")" && pwd)
-exec "$here/../standins-2/run-case.sh" ManyAtOnce "$here"
+exec "$here/../standins-2/run-case.sh" ColdClock "$here"
