--- a/review/standins-2/src/standins/RouterProcess.java
+++ b/review/standins-2/src/standins/RouterProcess.java
@@ -47,6 +47,7 @@
     builder.redirectOutput(
         ProcessBuilder.Redirect.appendTo(run.temp.resolve(name + ".log").toFile()));
     process = builder.start();
+    run.notePid(process);
     run.note("router %s started, pid %d", name, process.pid());
   }
 
--- a/review/standins-2/src/standins/Run.java
+++ b/review/standins-2/src/standins/Run.java
@@ -7,11 +7,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
-import java.util.stream.Stream;
 
 /**
  * One run of a case: its record, its temporary folder and the processes that it started. All times
@@ -36,25 +35,32 @@
     int play(Run run) throws Exception;
   }
 
-  private Run(Path root, Path folder) throws IOException {
+  private Run(Path root, Path folder, Path work) throws IOException {
     this.root = root;
-    temp = Files.createTempDirectory("review-case-");
+    temp = work;
     trouble = !"0".equals(System.getenv("TROUBLE"));
     record =
         new PrintWriter(
             Files.newBufferedWriter(folder.resolve("record.txt"), StandardCharsets.UTF_8), true);
   }
 
-  /** Plays a case and ends the process with its exit code; args: the root and the case's folder. */
+  /**
+   * Plays a case and ends the process with its exit code; args: the root, the case's folder and a
+   * temporary folder, which the caller removes.
+   */
   static void main(String[] args, Case played) {
     int code = COULD_NOT_RUN;
-    try (Run run = new Run(Path.of(args[0]), Path.of(args[1]))) {
+    try (Run run = new Run(Path.of(args[0]), Path.of(args[1]), Path.of(args[2]))) {
       Runtime.getRuntime().addShutdownHook(new Thread(run::killAll));
       Thread limit =
           new Thread(
               () -> {
-                sleep(110_000);
-                run.note("the run took too long");
+                // Also ends the run if the script that started it is gone.
+                ProcessHandle caller = ProcessHandle.current().parent().orElseThrow();
+                while (run.now() < 112_000 && caller.isAlive()) {
+                  sleep(200);
+                }
+                run.note("the run took too long, or its script is gone");
                 run.killAll();
                 Runtime.getRuntime().halt(COULD_NOT_RUN);
               });
@@ -98,8 +104,18 @@
     return router;
   }
 
+  /** Notes the id of a process, by which the script ends it if this process can't. */
+  void notePid(Process process) throws IOException {
+    Files.writeString(
+        temp.resolve("pids"),
+        process.pid() + "\n",
+        StandardOpenOption.CREATE,
+        StandardOpenOption.APPEND);
+  }
+
   /** Has another process ended at the end of the run. */
-  void addProcess(Process process) {
+  void addProcess(Process process) throws IOException {
+    notePid(process);
     synchronized (routers) {
       others.add(process);
     }
@@ -130,10 +146,5 @@
   public void close() throws IOException {
     killAll();
     record.close();
-    try (Stream<Path> files = Files.walk(temp)) {
-      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.deleteIfExists(file);
-      }
-    }
   }
 }
