Review cases 6 to 10: ports below those of outgoing connections

Cause: a free port was taken by an outgoing connection before its router listened on it, so one of five runs of case 10 ended with 2.

Change: stand-ins listen and routers are started on ports from 11,000 to 31,999 that are free. No check is changed.

--- a/review/standins-2/src/standins/Run.java
+++ b/review/standins-2/src/standins/Run.java
@@ -9,8 +9,11 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * One run of a case: its record, its temporary folder and the processes that it started. All times
@@ -22,6 +25,8 @@
   static final int BROKEN = 3;
   static final int COULD_NOT_RUN = 2;
 
+  private static final Set<Integer> PORTS = new HashSet<>();
+
   final Path root;
   final Path temp;
   final boolean trouble;
@@ -128,10 +133,23 @@
     }
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+  /**
+   * Returns a port that nobody listens on. It lies below those that the system hands to outgoing
+   * connections, so that none of these takes it before it is listened on.
+   */
+  static synchronized int freePort() throws IOException {
+    for (int i = 0; i < 1000; i++) {
+      int port = ThreadLocalRandom.current().nextInt(11_000, 32_000);
+      if (!PORTS.add(port)) {
+        continue;
+      }
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (IOException taken) {
+        // Tries another one.
+      }
     }
+    throw new IOException("no free port");
   }
 
   static void sleep(long ms) {
--- a/review/standins-2/src/standins/ShardServer.java
+++ b/review/standins-2/src/standins/ShardServer.java
@@ -105,11 +105,11 @@
 
   /** Starts to listen, at the same port after a restart. */
   void open() throws IOException {
+    port = port == 0 ? Run.freePort() : port;
     ServerSocket opened = new ServerSocket();
     opened.setReuseAddress(true);
     opened.bind(new java.net.InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 128);
     socket = opened;
-    port = opened.getLocalPort();
     Thread accepting = new Thread(() -> accept(opened));
     accepting.setDaemon(true);
     accepting.start();
