Bound the memory of incomplete bodies over all clients

Cause: bodies were bounded for each connection only, and a body in pieces kept every read buffer that a piece lay in. With 32 MB of direct memory used up, each allocation waits half a second inside the JVM, on the only event loop.

Change: RequestBodyBuffer copies the pieces into one buffer, RequestBodyBudget bounds these buffers over all connections to a quarter of the JVM's direct memory and drops the largest body beyond it, with a 503. Input behind a refused request is no longer collected. Requests that arrive complete are not counted. Why it works: allocations that may fail are no longer reached by bodies, and a body of up to budget / connections is never dropped.

AcceptBacklogTest's start of a process moved to FakeSite unchanged.

--- a/router/src/main/java/tidebank/config/RouterConfig.java
+++ b/router/src/main/java/tidebank/config/RouterConfig.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.util.NetUtil;
+import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -65,6 +66,8 @@
    *     request.
    * @param maxServerConnections maximum number of connections to all shard servers
    * @param maxConnectionsPerServer maximum number of connections to one shard server
+   * @param maxIncompleteBodyBytes maximum memory held by the bodies of incomplete requests of all
+   *     clients together
    * @param maxPipelinedRequests maximum number of unanswered requests on a client connection
    * @param minReadBufferBytes minimum size of a read buffer, small because a body keeps its buffer
    * @param initialReadBufferBytes size of the buffer for the first read of a connection
@@ -78,12 +81,16 @@
       int maxIdleClients,
       int maxServerConnections,
       int maxConnectionsPerServer,
+      long maxIncompleteBodyBytes,
       int maxPipelinedRequests,
       int minReadBufferBytes,
       int initialReadBufferBytes,
       int maxReadBufferBytes,
       int writeLowWaterMark,
       int writeHighWaterMark) {
+    /** The rest is for responses, shard servers and requests that arrive complete. */
+    private static final int MEMORY_SHARE_OF_INCOMPLETE_BODIES = 4;
+
     /**
      * Shares out the file descriptors: half for clients, an eighth for connections that are
      * rejected, and a quarter for shard servers; the rest stays free. Clients with requests hold at
@@ -97,6 +104,9 @@
           3 * eighth / 2,
           2 * eighth,
           Math.max(1, eighth / 8),
+          Math.min(
+              4L * eighth * MAX_BODY_BYTES,
+              PlatformDependent.maxDirectMemory() / MEMORY_SHARE_OF_INCOMPLETE_BODIES),
           16,
           64,
           2 * KIB,
--- a/router/src/main/java/tidebank/frontend/ClientConnection.java
+++ b/router/src/main/java/tidebank/frontend/ClientConnection.java
@@ -51,6 +51,9 @@
   private final RequestArrival arrival;
   private final long connectedAt;
 
+  /** Holds the body of an incomplete request; null if no request is served. */
+  private RequestBodyBuffer bodyBuffer;
+
   private long idleSince;
 
   /** Creates a connection; if {@code overBudget}, its first request is refused unseen. */
@@ -66,8 +69,18 @@
     this.arrival = new RequestArrival(context.executor(), server.earliestConnectTime());
   }
 
+  /** Sets the buffer of incomplete bodies, which is released with a request that is refused. */
+  void setBodyBuffer(RequestBodyBuffer buffer) {
+    bodyBuffer = buffer;
+  }
+
   // ---- state
 
+  /** Returns whether further input is read as requests; otherwise it is dropped. */
+  boolean readsRequests() {
+    return state == State.OPEN;
+  }
+
   ByteBufAllocator allocator() {
     return channel.alloc();
   }
@@ -194,6 +207,17 @@
     refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
   }
 
+  /** Records the most bytes that incomplete bodies of all connections have held. */
+  void recordIncompleteBodies(long peakBytes) {
+    context.counters().raiseTo("front.body-bytes-peak", peakBytes);
+  }
+
+  /** Refuses an incomplete request because incomplete bodies hold too much memory. */
+  void refuseForMemory() {
+    context.counters().increment("front.refused-bodies");
+    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many incomplete requests");
+  }
+
   /** Responds to a request that violates the protocol; the connection ends with the response. */
   void reject(HttpExchange exchange, HttpResponseStatus status, String text) {
     drain();
@@ -206,9 +230,16 @@
     drain();
     arrival.endRequest();
     timers.cancelRequest();
+    releaseBody();
     exchange.respond(status, text);
   }
 
+  private void releaseBody() {
+    if (bodyBuffer != null) {
+      bodyBuffer.release();
+    }
+  }
+
   /** Writes the available responses in order, up to the first that is missing. */
   void writeResponses() {
     boolean hasWritten = false;
@@ -342,6 +373,7 @@
       exchange.clientDisconnected();
     }
     exchanges.clear();
+    releaseBody();
     state = State.CLOSED;
   }
 }
--- a/router/src/main/java/tidebank/frontend/ClientPipeline.java
+++ b/router/src/main/java/tidebank/frontend/ClientPipeline.java
@@ -19,13 +19,19 @@
    * refused once its header is read.
    */
   static void build(
-      Channel channel, ClientConnection connection, int maxBodyBytes, boolean overBudget) {
+      Channel channel,
+      ClientConnection connection,
+      RequestBodyBudget bodyBudget,
+      int maxBodyBytes,
+      boolean overBudget) {
     StrictRequestDecoder decoder = new StrictRequestDecoder();
     channel
         .pipeline()
         .addLast(new RequestStartDetector(connection, decoder), decoder, new HttpResponseEncoder());
     if (!overBudget) {
-      channel.pipeline().addLast(new BodyAggregator(connection, maxBodyBytes));
+      RequestBodyBuffer buffer = new RequestBodyBuffer(connection, bodyBudget, maxBodyBytes);
+      connection.setBodyBuffer(buffer);
+      channel.pipeline().addLast(buffer, new BodyAggregator(connection, maxBodyBytes));
     }
     channel.pipeline().addLast(new ClientChannelHandler(connection));
   }
@@ -53,9 +59,9 @@
   }
 
   /**
-   * Collects bodies up to the size limit. An expectation of 100 (Continue) is met or ignored, but
-   * not refused: Netty's refusal would overtake responses that are due before it, and the body that
-   * follows would be parsed as a request.
+   * Joins requests and their bodies, up to the size limit. An expectation of 100 (Continue) is met
+   * or ignored, but not refused: Netty's refusal would overtake responses that are due before it,
+   * and the body that follows would be parsed as a request.
    */
   private static final class BodyAggregator extends HttpObjectAggregator {
     private final ClientConnection connection;
--- a/router/src/main/java/tidebank/frontend/ClientServer.java
+++ b/router/src/main/java/tidebank/frontend/ClientServer.java
@@ -19,6 +19,7 @@
   private final FrontendContext context;
   private final RequestRouter router;
   private final ConnectionBudget budget;
+  private final RequestBodyBudget bodyBudget;
   private final ListeningSocket listener;
   private final BooleanSupplier canServe;
   private boolean draining;
@@ -36,6 +37,8 @@
     this.canServe = canServe;
     this.router = new RequestRouter(context, this::isReady);
     this.budget = new ConnectionBudget(context);
+    this.bodyBudget = new RequestBodyBudget(config.budgets().maxIncompleteBodyBytes());
+    counters.raiseTo("front.body-bytes-budget", config.budgets().maxIncompleteBodyBytes());
     this.listener = new ListeningSocket(clock, timers, counters);
   }
 
@@ -56,7 +59,7 @@
     ClientConnection connection = new ClientConnection(this, context, channel, overBudget);
     budget.add(connection);
     ClientPipeline.build(
-        channel, connection, context.config().transport().maxBodyBytes(), overBudget);
+        channel, connection, bodyBudget, context.config().transport().maxBodyBytes(), overBudget);
     listener.setExhausted(budget.isExhausted());
   }
 
--- a/router/src/main/java/tidebank/metrics/Counters.java
+++ b/router/src/main/java/tidebank/metrics/Counters.java
@@ -17,6 +17,12 @@
     return ++counts.computeIfAbsent(name, absent -> new long[1])[0];
   }
 
+  /** Raises a counter to a value that it has not reached yet. */
+  public void raiseTo(String name, long value) {
+    long[] count = counts.computeIfAbsent(name, absent -> new long[1]);
+    count[0] = Math.max(count[0], value);
+  }
+
   /** Returns the value of a counter; 0 if it was never incremented. */
   public long get(String name) {
     long[] count = counts.get(name);
--- a/router/src/test/java/tidebank/AcceptBacklogTest.java
+++ b/router/src/test/java/tidebank/AcceptBacklogTest.java
@@ -159,26 +159,6 @@
 
   // ---- a router in a process of its own
 
-  /** Starts a router process and returns the address on which it listens. */
-  private InetSocketAddress startProcess(String listen) throws Exception {
-    site.startProcess(
-        Map.of(
-            "NODE_CONFIG",
-            site.writeConfigFile().toString(),
-            "NODE_NAME",
-            "n7",
-            "NODE_LISTEN",
-            listen),
-        "serve");
-    String line = site.stderr.readLine();
-    while (!line.contains("router n7 listens on")) {
-      line = site.stderr.readLine();
-      assertThat(line).as("log line with the listening address").isNotNull();
-    }
-    return new InetSocketAddress(
-        "127.0.0.1", Integer.parseInt(line.replaceAll(".*127.0.0.1:(\\d+).*", "$1")));
-  }
-
   private void sendSignal(String name) throws Exception {
     new ProcessBuilder("kill", "-" + name, String.valueOf(site.process.pid())).start().waitFor();
   }
@@ -214,7 +194,7 @@
   /** A query sent to a shard server before the shutdown ends must not lose its response. */
   @Test
   void backlogAtSigtermIsAnsweredOrNotSentToServers() throws Exception {
-    InetSocketAddress address = startProcess("127.0.0.1:0");
+    InetSocketAddress address = site.startServing("127.0.0.1:0");
     suspendProcess();
     connectAll(address);
     sendSignal("TERM");
@@ -226,14 +206,14 @@
   /** A connection that was never accepted must not lead to requests to shard servers. */
   @Test
   void backlogAtSigkillIsResetAndNewProcessReusesAddress() throws Exception {
-    InetSocketAddress address = startProcess("127.0.0.1:0");
+    InetSocketAddress address = site.startServing("127.0.0.1:0");
     suspendProcess();
     connectAll(address);
     sendSignal("KILL");
     site.process.waitFor();
     assertThat(readStatuses().values()).containsOnly(NO_RESPONSE);
     // The clients' sockets are still open, but none of the killed process occupies the address.
-    assertThat(startProcess("127.0.0.1:" + address.getPort())).isEqualTo(address);
+    assertThat(site.startServing("127.0.0.1:" + address.getPort())).isEqualTo(address);
     try (FakeClient newClient = new FakeClient(address)) {
       assertThat(newClient.sendAndRead(queryRequest("once", "again", 2900, 0.5, 0.5)).status())
           .isEqualTo(200);
@@ -246,13 +226,13 @@
   /** Sockets that a shutdown leaves in the kernel must not keep a new process from listening. */
   @Test
   void newProcessReusesAddressAfterGracefulShutdown() throws Exception {
-    InetSocketAddress address = startProcess("127.0.0.1:0");
+    InetSocketAddress address = site.startServing("127.0.0.1:0");
     connectAll(address);
     assertThat(readStatuses().values()).containsOnly(200);
     sendSignal("TERM");
     assertExitsWithZero();
     // The router closed first: its sockets are in TIME_WAIT, or FIN_WAIT while clients stay open.
-    assertThat(startProcess("127.0.0.1:" + address.getPort())).isEqualTo(address);
+    assertThat(site.startServing("127.0.0.1:" + address.getPort())).isEqualTo(address);
     try (FakeClient newClient = new FakeClient(address)) {
       assertThat(newClient.sendAndRead(queryRequest("once", "again", 2900, 0.5, 0.5)).status())
           .isEqualTo(200);
--- a/router/src/test/java/tidebank/FakeSite.java
+++ b/router/src/test/java/tidebank/FakeSite.java
@@ -86,6 +86,9 @@
   /** Whether the process is started with a file descriptor limit that fits {@link #maxSockets}. */
   boolean limitDescriptors;
 
+  /** Further options of the process's JVM. */
+  final List<String> jvmOptions = new ArrayList<>();
+
   int maxBatchSize = 1;
   int pollIntervalMs = 12_000;
   int latencyObjectiveMs = 1000;
@@ -204,10 +207,9 @@
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-ea",
                 "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "tidebank.Main"));
+                "-XX:TieredStopAtLevel=1"));
+    command.addAll(jvmOptions);
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), "tidebank.Main"));
     command.addAll(List.of(args));
     if (limitDescriptors) {
       // The limit also covers the jars of the test's class path, as each needs a descriptor. In
@@ -226,6 +228,25 @@
     return process;
   }
 
+  /**
+   * Starts a router process named n7 and returns the address on which it listens.
+   *
+   * @param listen the address to listen on; with port 0 the system picks a port
+   */
+  InetSocketAddress startServing(String listen) throws IOException {
+    startProcess(
+        Map.of(
+            "NODE_CONFIG", writeConfigFile().toString(), "NODE_NAME", "n7", "NODE_LISTEN", listen),
+        "serve");
+    String line = stderr.readLine();
+    while (!line.contains("router n7 listens on")) {
+      line = stderr.readLine();
+      Assertions.assertThat(line).as("log line with the listening address").isNotNull();
+    }
+    return new InetSocketAddress(
+        "127.0.0.1", Integer.parseInt(line.replaceAll(".*127.0.0.1:(\\d+).*", "$1")));
+  }
+
   /**
    * Stalls the router's event loop. The loop is stalled when this returns, and resumes when the
    * returned latch is counted down.
--- a/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
+++ b/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
@@ -36,6 +36,7 @@
           "tidebank.capture.SegmentRetention",
           "tidebank.fleet.FleetReport",
           "tidebank.fleet.RemovalList",
+          "tidebank.frontend.RequestBodyBudget",
           "tidebank.runtime.Readiness",
           "tidebank.runtime.ReadDelayEstimator",
           "tidebank.runtime.ShutdownSchedule",
