Reset connections whose given-up attempts are not known to be read in time

Cause: up to 4,096 bytes that are not known to be read counted as delivered. Behind a cut link they lie in the send buffer or in a proxy; only what the server itself sends back is evidence.

Change: DeliveryTracker keeps by when a frame has to be known as read. An attempt that was given up has until its deadline, one with a key until the key's window ends, given up or not. One connect timeout before, a health check is written behind it where permitted; without evidence the connection is reset. Only unread requests make a close a reset, no longer unread cancels and health checks. It works since frames are read in order and a reset discards what was not delivered.

--- a/router/src/main/java/tidebank/backend/BackendContext.java
+++ b/router/src/main/java/tidebank/backend/BackendContext.java
@@ -14,6 +14,8 @@
  * @param timers the event loop's timers
  * @param counters the router's counters
  * @param transport the socket settings
+ * @param healthChecks whether shard servers may be sent health checks
+ * @param keyWindows the times within which shard servers recognize idempotency keys
  * @param cancellation whether shard servers accept a cancel frame
  * @param lateResponseWindowUs how long after the cancellation of an attempt a response to it is not
  *     a protocol error, in microseconds
@@ -24,5 +26,7 @@
     TimerQueue timers,
     Counters counters,
     RouterConfig.Transport transport,
+    boolean healthChecks,
+    KeyWindows keyWindows,
     boolean cancellation,
     long lateResponseWindowUs) {}
--- a/router/src/main/java/tidebank/backend/BatchWriter.java
+++ b/router/src/main/java/tidebank/backend/BatchWriter.java
@@ -68,7 +68,8 @@
     currentBatch = batch;
     connection.writeStarted(batch, now);
     ByteBuf frame = FrameCodec.encodeBatch(channel.alloc(), batch.attempts(), now);
-    batch.setEndPosition(outbound.recordWrite(frame));
+    batch.setEndPosition(outbound.recordBatch(frame));
+    connection.requireDeliveryInKeyWindow(batch);
     channel.writeAndFlush(frame).addListener(writeListener);
   }
 
--- a/router/src/main/java/tidebank/backend/HealthCheckQueue.java
+++ b/router/src/main/java/tidebank/backend/HealthCheckQueue.java
@@ -10,7 +10,22 @@
 
 /** The outstanding health checks of one connection, in the order that responses arrive. */
 final class HealthCheckQueue {
-  private record HealthCheck(byte type, long requestedAt) {}
+  private static final class HealthCheck {
+    private final byte type;
+    private final long requestedAt;
+
+    /** Whether the policy has asked for it and is told its outcome. */
+    private final boolean isForPolicy;
+
+    /** Where its frame ends in the byte stream of the connection, once it is written. */
+    private long endPosition;
+
+    HealthCheck(byte type, long requestedAt, boolean isForPolicy) {
+      this.type = type;
+      this.requestedAt = requestedAt;
+      this.isForPolicy = isForPolicy;
+    }
+  }
 
   private final ShardConnection connection;
   private final String server;
@@ -36,8 +51,25 @@
     return outstanding.size();
   }
 
-  void add(byte type) {
-    outstanding.add(new HealthCheck(type, context.clock().now()));
+  /** Adds a health check for the policy, and writes it if the connection is established. */
+  void add(byte type, Channel channel, boolean connected) {
+    HealthCheck check = new HealthCheck(type, context.clock().now(), true);
+    add(check);
+    if (connected) {
+      write(channel, check);
+    }
+  }
+
+  /** Writes a health check whose response shows that the server has read all before it. */
+  void addDeliveryCheck(Channel channel) {
+    HealthCheck check = new HealthCheck(FrameCodec.HEALTH_CHECK, context.clock().now(), false);
+    context.counters().increment("shard.delivery-checks");
+    add(check);
+    write(channel, check);
+  }
+
+  private void add(HealthCheck check) {
+    outstanding.add(check);
     if (outstanding.size() == 1) {
       scheduleTimeout();
     }
@@ -46,13 +78,13 @@
   /** Writes all health checks that were added before the connection was established. */
   void writeAll(Channel channel) {
     for (HealthCheck check : outstanding) {
-      write(channel, check.type());
+      write(channel, check);
     }
   }
 
-  void write(Channel channel, byte type) {
-    ByteBuf frame = FrameCodec.encodeHealthCheck(channel.alloc(), type);
-    outbound.recordWrite(frame);
+  private void write(Channel channel, HealthCheck check) {
+    ByteBuf frame = FrameCodec.encodeHealthCheck(channel.alloc(), check.type);
+    check.endPosition = outbound.recordWrite(frame);
     channel.writeAndFlush(frame, channel.voidPromise());
   }
 
@@ -64,10 +96,11 @@
    */
   void receive(FrameCodec.HealthCheckResponse response) throws MalformedInputException {
     HealthCheck check = outstanding.poll();
-    if (check == null || check.type() != response.type()) {
+    if (check == null || check.type != response.type()) {
       throw new MalformedInputException("response matches no health check");
     }
     context.timers().cancel(timeout);
+    outbound.recordRead(check.endPosition);
     boolean healthy = FrameCodec.isHealthy(response.text());
     boolean hasLoadReport = healthy && response.type() == FrameCodec.HEALTH_CHECK_WITH_LOAD;
     report(
@@ -77,6 +110,7 @@
     if (!outstanding.isEmpty()) {
       scheduleTimeout();
     }
+    connection.becameIdle();
   }
 
   private void scheduleTimeout() {
@@ -87,10 +121,11 @@
 
   private void timedOut() {
     HealthCheck oldest = outstanding.peek();
-    if (oldest != null) {
+    connection.readNow();
+    if (oldest != null && outstanding.peek() == oldest) {
+      outstanding.poll();
       report(oldest, Outcome.TIMED_OUT, Map.of());
-      outstanding.clear();
-      connection.close();
+      connection.closeUndelivered();
     }
   }
 
@@ -107,7 +142,9 @@
   }
 
   private void report(HealthCheck check, Outcome outcome, Map<String, Double> loadReport) {
-    long durationUs = context.clock().now() - check.requestedAt();
-    context.policy().healthCheckCompleted(server, outcome, durationUs, loadReport);
+    if (check.isForPolicy) {
+      long durationUs = context.clock().now() - check.requestedAt;
+      context.policy().healthCheckCompleted(server, outcome, durationUs, loadReport);
+    }
   }
 }
--- a/router/src/main/java/tidebank/backend/InFlightAttempt.java
+++ b/router/src/main/java/tidebank/backend/InFlightAttempt.java
@@ -93,6 +93,7 @@
       batch.connection().closeUndelivered();
     } else if (stage == Stage.SENT) {
       batch.connection().cancel(this);
+      batch.connection().requireDelivery(this);
       batch.pool().complete(this, outcomeIfWritten, null);
     }
   }
@@ -109,6 +110,8 @@
       batch.connection().closeUndelivered();
     } else if (mayBeUndelivered()) {
       abort(Outcome.CANCELLED);
+    } else if (stage == Stage.SENT) {
+      batch.connection().requireDelivery(this);
     }
   }
 }
--- a/router/src/main/java/tidebank/backend/OutboundStream.java
+++ b/router/src/main/java/tidebank/backend/OutboundStream.java
@@ -12,17 +12,35 @@
  */
 final class OutboundStream {
   private final Counters counters;
-  private final DeliveryTracker delivery = new DeliveryTracker();
+  private final DeliveryTracker delivery;
 
-  OutboundStream(Counters counters) {
+  /**
+   * Creates the stream of a new connection.
+   *
+   * @param probeTimeoutUs how long the server may take to answer a health check, in microseconds
+   */
+  OutboundStream(Counters counters, long probeTimeoutUs) {
     this.counters = counters;
+    this.delivery = new DeliveryTracker(probeTimeoutUs);
+  }
+
+  /** Returns what is known of the delivery of these bytes. */
+  DeliveryTracker delivery() {
+    return delivery;
   }
 
-  /** Records the write of a frame's contents and returns where the frame ends in the stream. */
+  /**
+   * Records the write of a frame without requests and returns where the frame ends in the stream.
+   */
   long recordWrite(ByteBuf frame) {
     return delivery.recordWrite(FrameDecoder.LENGTH_BYTES + frame.readableBytes());
   }
 
+  /** Records the write of a batch and returns where its frame ends in the stream. */
+  long recordBatch(ByteBuf frame) {
+    return delivery.recordRequests(FrameDecoder.LENGTH_BYTES + frame.readableBytes());
+  }
+
   /** Records that the server has read the frame that ends here. */
   void recordRead(long endPosition) {
     delivery.recordRead(endPosition);
@@ -34,11 +52,11 @@
   }
 
   /**
-   * Closes the channel. It is reset unless the server is known to have read everything, as a plain
-   * close still delivers what the send buffer holds.
+   * Closes the channel. It is reset unless the server is known to have read all requests, as a
+   * plain close still delivers what the send buffer holds.
    */
   void close(Channel channel) {
-    if (channel.isOpen() && !delivery.isAllRead()) {
+    if (channel.isOpen() && !delivery.areRequestsRead()) {
       resetOnClose(channel);
     }
     channel.close();
--- a/router/src/main/java/tidebank/backend/ShardClient.java
+++ b/router/src/main/java/tidebank/backend/ShardClient.java
@@ -56,6 +56,8 @@
             timers,
             counters,
             config.transport(),
+            config.settings().limits().healthChecks(),
+            new KeyWindows(config.settings().queryClasses()),
             config.settings().limits().cancellation(),
             config.settings().longestTimeoutUs());
   }
--- a/router/src/main/java/tidebank/backend/ShardConnection.java
+++ b/router/src/main/java/tidebank/backend/ShardConnection.java
@@ -6,12 +6,14 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
 import tidebank.config.MalformedInputException;
 import tidebank.model.Outcome;
+import tidebank.runtime.AttemptRequest;
 import tidebank.runtime.TimerQueue;
 
 /**
@@ -36,6 +38,7 @@
   private final FrameReceiver frames;
   private final Set<RequestBatch> batches = new HashSet<>();
   private final TimerQueue.Timer idleTimer = TimerQueue.timer(this::closeIfIdle);
+  private final TimerQueue.Timer deliveryTimer = TimerQueue.timer(this::checkDelivery);
 
   private Channel channel;
   private State state = State.CONNECTING;
@@ -50,7 +53,7 @@
     this.context = context;
     this.decoder =
         new FrameDecoder(context.transport().maxBodyBytes() + FrameCodec.MAX_HEADER_BYTES);
-    this.outbound = new OutboundStream(context.counters());
+    this.outbound = new OutboundStream(context.counters(), context.transport().connectTimeoutUs());
     this.writer = new BatchWriter(this, pool, context, outbound);
     this.responses = new ResponseMatcher(pool, context, outbound);
     this.healthChecks = new HealthCheckQueue(this, pool.server(), context, outbound);
@@ -166,6 +169,64 @@
     }
   }
 
+  /**
+   * Requires that a batch with idempotency keys arrives while the keys are recognized, even if its
+   * attempts are not given up until then.
+   */
+  void requireDeliveryInKeyWindow(RequestBatch batch) {
+    for (InFlightAttempt attempt : batch.attempts()) {
+      AttemptRequest request = attempt.request();
+      long windowEndsAt =
+          context.keyWindows().endsAt(request.queryClass(), request.firstAttemptAt());
+      outbound.delivery().requireRead(batch.endPosition(), windowEndsAt);
+    }
+    scheduleDeliveryCheck();
+  }
+
+  /** Requires that the frame of an attempt that was given up arrives in time or never. */
+  void requireDelivery(InFlightAttempt attempt) {
+    outbound
+        .delivery()
+        .requireReadAfterGivingUp(
+            attempt.batch().endPosition(), attempt.deadline(), context.clock().now());
+    scheduleDeliveryCheck();
+  }
+
+  private void scheduleDeliveryCheck() {
+    long checkAt = outbound.delivery().nextCheckAt();
+    if (state != State.CLOSED && checkAt != DeliveryTracker.NEVER) {
+      context.timers().schedule(deliveryTimer, checkAt);
+    }
+  }
+
+  /**
+   * Closes the connection if a frame was not read in time. Shortly before, asks the server by a
+   * health check: it reads the frames in order, so its response shows that it has read all others.
+   */
+  private void checkDelivery() {
+    readNow();
+    DeliveryTracker delivery = outbound.delivery();
+    long now = context.clock().now();
+    if (delivery.isOverdue(now)) {
+      closeUndelivered();
+      return;
+    }
+    if (delivery.isProbeDue(now)) {
+      delivery.recordProbe();
+      if (context.healthChecks() && state == State.CONNECTED) {
+        healthChecks.addDeliveryCheck(channel);
+      }
+    }
+    scheduleDeliveryCheck();
+  }
+
+  /** Reads the available input, as responses may have waited unread while this process stalled. */
+  void readNow() {
+    if (channel instanceof AbstractNioChannel nioChannel && channel.isActive()) {
+      nioChannel.unsafe().read();
+    }
+  }
+
   /** Drops all queued batches and reports their attempts as not sent. */
   void dropUnwritten() {
     writer.dropUnwritten();
@@ -192,6 +253,11 @@
     }
     batches.remove(batch);
     writer.remove(batch);
+    becameIdle();
+  }
+
+  /** Closes the connection now or later if it is idle. */
+  void becameIdle() {
     if (isIdle() && retired) {
       close();
     } else if (isIdle()) {
@@ -201,10 +267,7 @@
 
   /** Sends a health check of this frame type, now or once connected. */
   void checkHealth(byte type) {
-    healthChecks.add(type);
-    if (state == State.CONNECTED) {
-      healthChecks.write(channel, type);
-    }
+    healthChecks.add(type, channel, state == State.CONNECTED);
   }
 
   @Override
@@ -285,6 +348,7 @@
     boolean wasConnected = state == State.CONNECTED;
     state = State.CLOSED;
     context.timers().cancel(idleTimer);
+    context.timers().cancel(deliveryTimer);
     healthChecks.cancelTimeout();
     frames.cancelTimeout();
     pool.remove(this);
--- a/router/src/main/java/tidebank/runtime/AttemptRequest.java
+++ b/router/src/main/java/tidebank/runtime/AttemptRequest.java
@@ -32,6 +32,16 @@
     return shardRequest.target().shard();
   }
 
+  /** Returns the name of the query's class. */
+  public String queryClass() {
+    return shardRequest.query().request().queryClass();
+  }
+
+  /** Returns when the first attempt of the shard request was decided, in microseconds. */
+  public long firstAttemptAt() {
+    return shardRequest.attempts().get(0).createdAt;
+  }
+
   /** Returns the id of the shard server that the attempt goes to. */
   public String server() {
     return server;
@@ -96,7 +106,7 @@
 
     /**
      * Drops the attempt unless it has reached the shard server. One that is written but may not
-     * have arrived closes its connection, so that it does not arrive later.
+     * have arrived closes its connection, now or once it must not arrive any more.
      */
     void dropUndelivered();
   }
--- a/router/src/test/java/tidebank/FakeSite.java
+++ b/router/src/test/java/tidebank/FakeSite.java
@@ -54,6 +54,9 @@
   /** The maximum wait for an event that a test expects, in milliseconds. */
   static final int WAIT_MS = 8000;
 
+  /** For how long shard servers recognize an idempotency key, in milliseconds. */
+  static final int KEY_WINDOW_MS = 2000;
+
   final List<FakeShardServer> servers = new ArrayList<>();
   final FakeDiscovery discovery = new FakeDiscovery(this);
 
@@ -91,6 +94,10 @@
 
   int maxBatchSize = 1;
   int pollIntervalMs = 12_000;
+
+  /** The semantics of the query class "once"; keys are recognized for {@link #KEY_WINDOW_MS}. */
+  String onceSemantics = "non_idempotent";
+
   int latencyObjectiveMs = 1000;
 
   /** Whether the configuration file contains the endpoint list. */
@@ -132,8 +139,9 @@
         + latencyObjectiveMs
         + ",'deadlineMs':"
         + 3 * latencyObjectiveMs
-        + ",'windowMs':2000,"
-        + "'lateWorth':"
+        + ",'windowMs':"
+        + KEY_WINDOW_MS
+        + ",'lateWorth':"
         + lateWorth
         + ",'worth':1}";
   }
@@ -149,7 +157,7 @@
             + ","
             + queryClassJson("part", "read_like", 0)
             + ","
-            + queryClassJson("once", "non_idempotent", 0.3)
+            + queryClassJson("once", onceSemantics, 0.3)
             + "],'specifics':{'slices':4,"
             + "'positions':4,'width':2,'bundleMax':"
             + maxBatchSize
--- a/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
+++ b/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
@@ -27,6 +27,7 @@
   private static final Set<String> DECIDE =
       Set.of(
           "tidebank.backend.DeliveryTracker",
+          "tidebank.backend.KeyWindows",
           "tidebank.capture.BlockReader",
           "tidebank.capture.BlockWriter",
           "tidebank.capture.CaptureDecoder",
