Count a slow start from the list that told it, not by the wall clock

Cause: a start's age was the router's clock, read at its own start, less born_ms of the stepped clock; and only a later born_ms counted as a start.

Change: a start time that differs from the one listed before begins the slow start, counted from that list. The first list is taken by its times, not beyond its arrival. Starts of servers that leave the list are remembered. It works since a difference needs no trust in two clocks, and the ramp of a router that is told late lags behind, never ahead.

--- a/router/src/main/java/tidebank/policy/RoutingPolicy.java
+++ b/router/src/main/java/tidebank/policy/RoutingPolicy.java
@@ -200,11 +200,11 @@
     endpoints.apply(list);
     for (Endpoint endpoint : list.endpoints()) {
       ShardServer server = endpoints.get(endpoint.server());
-      if (server != null && endpoint.startedAt() > server.slowStart().startedAt()) {
-        restarts.recordStart(server, endpoint.startedAt(), now);
+      if (server != null && restarts.recordListed(server, endpoint.startedAt(), now)) {
         server.outlierDetector().allowReinstatement(now);
       }
     }
+    restarts.listApplied(list.endpoints().isEmpty());
   }
 
   /**
--- a/router/src/main/java/tidebank/policy/ServerRestarts.java
+++ b/router/src/main/java/tidebank/policy/ServerRestarts.java
@@ -1,15 +1,37 @@
 package tidebank.policy;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import tidebank.model.SeededRandom;
 import tidebank.model.Settings;
 
 /**
  * Begins the slow start of restarted servers. Discovery reports a restart, or the policy infers one
  * from a response after the server was unreachable.
+ *
+ * <p>A listed start time is Unix time of a clock that may have been stepped since this router
+ * started, so it is not compared with the router's own clock: only that it differs from the one
+ * that was listed before shows a restart. The slow start then counts from the time of the list. In
+ * the first list there is nothing to compare with, and the router has read the same clock at its
+ * own start, so the listed time is taken as it is.
  */
 final class ServerRestarts {
   private static final double UNREACHABLE_OBJECTIVE_SHARE = 0.5;
 
+  /** Twice the planned number of servers, as those that are gone are remembered as well. */
+  private static final int MAX_SERVERS = 10_000;
+
+  private static final int INITIAL_SERVERS = 16;
+  private static final float LOAD_FACTOR = 0.75f;
+
+  /**
+   * The start of a server.
+   *
+   * @param listedStart the start time that was listed last, other than 0 if there was one
+   * @param slowStartAt when its slow start began by this router's clock; 0 if it had none
+   */
+  private record KnownStart(long listedStart, long slowStartAt) {}
+
   private final long batchOverheadUs;
 
   /**
@@ -22,6 +44,19 @@
   private final LatencyTracker latency;
   private final SeededRandom random;
 
+  /** The last known start of each server, also of servers that are no longer listed. */
+  private final Map<String, KnownStart> knownStarts =
+      new LinkedHashMap<>(INITIAL_SERVERS, LOAD_FACTOR, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, KnownStart> leastRecentlyListed) {
+          return size() > MAX_SERVERS;
+        }
+      };
+
+  private boolean hasReceivedList;
+
   ServerRestarts(
       Settings settings, long shortestObjectiveUs, LatencyTracker latency, SeededRandom random) {
     this.batchOverheadUs = settings.layout().batchOverheadUs();
@@ -43,8 +78,37 @@
     }
   }
 
+  /**
+   * Records the start time that a list has for a server, or 0 if it started long ago. Returns
+   * whether it shows a start that this router has not known.
+   */
+  boolean recordListed(ShardServer server, long listedStart, long now) {
+    KnownStart known = knownStarts.get(server.id());
+    boolean isNew = known == null || (listedStart > 0 && known.listedStart() != listedStart);
+    if (isNew) {
+      known = new KnownStart(listedStart, slowStartAt(listedStart, now));
+      knownStarts.put(server.id(), known);
+    }
+    if (known.slowStartAt() > server.slowStart().startedAt()) {
+      recordStart(server, known.slowStartAt(), now);
+    }
+    return isNew && listedStart > 0;
+  }
+
+  private long slowStartAt(long listedStart, long now) {
+    if (listedStart == 0) {
+      return 0;
+    }
+    return hasReceivedList ? now : Math.min(listedStart, now);
+  }
+
+  /** Records that a list was applied. Later ones are compared with it unless it was empty. */
+  void listApplied(boolean isEmpty) {
+    hasReceivedList |= !isEmpty;
+  }
+
   /** Records that a server started at {@code startedAt}, and begins its slow start. */
-  void recordStart(ShardServer server, long startedAt, long now) {
+  private void recordStart(ShardServer server, long startedAt, long now) {
     double batchUs = Math.max(latency.baselineResponseUs(), minResponseTimeUs) + batchOverheadUs;
     server.slowStart().begin(startedAt, server.capacity(), batchUs, random, now);
   }
--- a/router/src/main/java/tidebank/policy/SlowStart.java
+++ b/router/src/main/java/tidebank/policy/SlowStart.java
@@ -26,7 +26,7 @@
   private final Settings.Rules rules;
   private final SlidingWindow sends = new SlidingWindow();
 
-  /** When the server started, or 0 if it started long ago. */
+  /** When the slow start began by this router's clock, or 0 if the server started long ago. */
   private long startedAt;
 
   /**
--- a/router/src/test/java/tidebank/policy/PolicyHarness.java
+++ b/router/src/test/java/tidebank/policy/PolicyHarness.java
@@ -36,6 +36,9 @@
   int routers = 2;
   int routerIndex = -1;
 
+  /** When server s0 started according to the list at the start, or 0 if that was long ago. */
+  long cachedStartMs;
+
   /** Whether the policy was notified of a server that has recently started. */
   boolean notifiedOfStart;
 
@@ -93,7 +96,7 @@
     policy = new RoutingPolicy(settings(), seed);
     List<Endpoint> endpoints = new ArrayList<>();
     for (int i = 0; i < layout.positions(); i++) {
-      endpoints.add(endpoint("s" + i, i, EndpointStatus.IN_SERVICE, 0));
+      endpoints.add(endpoint("s" + i, i, EndpointStatus.IN_SERVICE, i == 0 ? cachedStartMs : 0));
     }
     updateList(ListUpdate.CACHED, endpoints.toArray(new Endpoint[0]));
     return this;
--- a/router/src/test/java/tidebank/policy/SlowStartTest.java
+++ b/router/src/test/java/tidebank/policy/SlowStartTest.java
@@ -29,6 +29,9 @@
   /** The duration of a request; a server of capacity 1 executes one at a time. */
   private static final int WORK_MS = 100;
 
+  /** When the server starts by a clock that is not stepped. */
+  private static final long STARTED_AT_MS = 10_000_000;
+
   /** A step of the simulation: a notification, a restart, a query, or the end of an attempt. */
   private record ScheduledTask(long atMs, int router, String name, int attempt) {}
 
@@ -39,8 +42,9 @@
     return OVERLOAD_MULTIPLE * share * WINDOW_MS / WORK_MS;
   }
 
-  private PolicyHarness router(int routers, int index, long nowMs, long seed) {
+  private PolicyHarness router(int routers, int index, long nowMs, long cachedStartMs, long seed) {
     PolicyHarness policy = new PolicyHarness();
+    policy.cachedStartMs = cachedStartMs;
     policy.routers = routers;
     policy.routerIndex = index;
     policy.nowMs = nowMs;
@@ -55,17 +59,25 @@
 
   /**
    * Runs a fleet and returns the ages of the server, in milliseconds, at which notified routers
-   * sent requests to it.
+   * sent requests to it. The routers started before the wall clock was stepped by {@code
+   * clockStepMs}, the server after it.
    */
   private List<Long> simulate(
-      int routers, double perSecond, int noticeDelayMs, double restartShare, long seed) {
+      int routers,
+      double perSecond,
+      int noticeDelayMs,
+      double restartShare,
+      long clockStepMs,
+      long seed) {
     Random random = new Random(seed);
-    long startedAtMs = 50_000;
+    long startedAtMs = STARTED_AT_MS;
+    long listedStartMs = startedAtMs + clockStepMs;
     PolicyHarness[] fleet = new PolicyHarness[routers];
+    long[] clockOffsetsMs = new long[routers];
     PriorityQueue<ScheduledTask> schedule =
         new PriorityQueue<>(java.util.Comparator.comparingLong(ScheduledTask::atMs));
     for (int index = 0; index < routers; index++) {
-      fleet[index] = router(routers, index, startedAtMs, random.nextLong());
+      fleet[index] = router(routers, index, startedAtMs, 0, random.nextLong());
       long noticeDelay = noticeDelayMs == 0 ? 0 : random.nextInt(noticeDelayMs);
       schedule.add(new ScheduledTask(startedAtMs + noticeDelay, index, "notice", 0));
       if (random.nextDouble() < restartShare) {
@@ -79,14 +91,23 @@
     for (int id = 0; schedule.peek().atMs() < startedAtMs + SLOW_START_MS; id++) {
       ScheduledTask task = schedule.poll();
       PolicyHarness policy = fleet[task.router()];
-      policy.advance(task.atMs() - policy.nowMs);
+      policy.advance(task.atMs() + clockOffsetsMs[task.router()] - policy.nowMs);
       if (task.name().equals("notice")) {
         policy.updateList(
-            ListUpdate.DELTA, endpoint("s0", 0, EndpointStatus.IN_SERVICE, startedAtMs));
+            ListUpdate.DELTA, endpoint("s0", 0, EndpointStatus.IN_SERVICE, listedStartMs));
       } else if (task.name().equals("restart")) {
-        policy = router(routers, task.router(), task.atMs(), random.nextLong());
+        // Every second restarted router has no list yet that names the start.
+        boolean isCached = task.router() % 2 == 0;
+        policy =
+            router(
+                routers,
+                task.router(),
+                task.atMs() + clockStepMs,
+                isCached ? listedStartMs : 0,
+                random.nextLong());
+        clockOffsetsMs[task.router()] = clockStepMs;
         policy.updateList(
-            ListUpdate.DELTA, endpoint("s0", 0, EndpointStatus.IN_SERVICE, startedAtMs));
+            ListUpdate.DELTA, endpoint("s0", 0, EndpointStatus.IN_SERVICE, listedStartMs));
         fleet[task.router()] = policy;
       } else if (task.name().isEmpty()) {
         for (Action action : policy.query("q" + id, "strict", 1)) {
@@ -123,27 +144,39 @@
    * Guards against overload of a starting server, where each router alone stays within its share
    * but chance, late notifications or restarted routers make the fleet exceed the budget. Two
    * standard deviations of chance are tolerated. Also guards against a fleet that hardly uses the
-   * server.
+   * server, and against a start that looks long ago, or in the future, after a step of the clock.
    */
   @ParameterizedTest(
-      name = "{0} routers, {1} queries a second each, notified up to {2} ms late, {3} restarted")
+      name =
+          "{0} routers, {1} queries a second each, notified up to {2} ms late, {3} restarted,"
+              + " clock stepped by {4} ms")
   @CsvSource({
-    "1, 60, 0, 0",
-    "3, 40, 0, 0",
-    "20, 6, 0, 0",
-    "20, 20, 0, 0.7",
-    "30, 2, 0, 0",
-    "30, 12, 0, 0",
-    "30, 12, 1500, 0.7",
-    "100, 1, 0, 0",
-    "100, 4, 0, 0.7",
-    "100, 4, 3000, 0"
+    "1, 60, 0, 0, 0",
+    "3, 40, 0, 0, 0",
+    "20, 6, 0, 0, 0",
+    "20, 20, 0, 0.7, 0",
+    "30, 2, 0, 0, 0",
+    "30, 12, 0, 0, 0",
+    "30, 12, 1500, 0.7, 0",
+    "100, 1, 0, 0, 0",
+    "100, 4, 0, 0.7, 0",
+    "100, 4, 3000, 0, 0",
+    "2, 60, 6000, 0, 0",
+    "20, 20, 6000, 0.7, 0",
+    "30, 12, 6000, 0, 0",
+    "2, 60, 0, 0, -3600000",
+    "20, 20, 0, 0, -3600000",
+    "20, 20, 1500, 0.7, -5000",
+    "30, 12, 6000, 0.7, -3600000",
+    "20, 20, 0, 0, 3600000",
+    "30, 12, 1500, 0.7, 5000"
   })
   void fleetStaysWithinSlowStartBudgetAndUsesIt(
-      int routers, double perSecond, int noticeDelayMs, double restartShare) {
+      int routers, double perSecond, int noticeDelayMs, double restartShare, long clockStepMs) {
     double totalSent = 0;
     for (long seed = 1; seed <= 12; seed++) {
-      List<Long> sent = simulate(routers, perSecond, noticeDelayMs, restartShare, seed);
+      List<Long> sent =
+          simulate(routers, perSecond, noticeDelayMs, restartShare, clockStepMs, seed);
       totalSent += sent.size();
       for (int i = 0; i < sent.size(); i++) {
         int windowRequests = 1;
