Keep the state machine's life cycle, and end a coordinator whose replica closed

Change: the state machine is running, paused, running again and closed as the library expects. It works since the library only reinitializes a machine that says it is paused.

The fixtures of errors gained the new one; nothing else in them changed.

--- a/coordinator/src/main/java/tidebank/coordinator/CoordinatorServer.java
+++ b/coordinator/src/main/java/tidebank/coordinator/CoordinatorServer.java
@@ -52,7 +52,7 @@
 
     @Override
     public void logFailed(Throwable cause) {
-      replica.fail(cause);
+      replica.logFailed(cause);
     }
   }
 
--- a/coordinator/src/main/java/tidebank/coordinator/HttpRequestHandler.java
+++ b/coordinator/src/main/java/tidebank/coordinator/HttpRequestHandler.java
@@ -77,6 +77,9 @@
   }
 
   private CompletableFuture<byte[]> readiness() throws TidebankException {
+    if (coordinator.failure().isDone()) {
+      throw coordinator.failure().join();
+    }
     CoordinatorConfig.Peer leader =
         coordinator
             .leader()
--- a/coordinator/src/main/java/tidebank/coordinator/LeaseStateMachine.java
+++ b/coordinator/src/main/java/tidebank/coordinator/LeaseStateMachine.java
@@ -25,6 +25,7 @@
 import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 import org.apache.ratis.thirdparty.com.google.protobuf.UnsafeByteOperations;
+import org.apache.ratis.util.LifeCycle;
 import org.apache.ratis.util.MD5FileUtil;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -100,12 +101,30 @@
       throws IOException {
     super.initialize(server, group, raftStorage);
     storage.init(raftStorage);
-    restore();
+    getLifeCycle().startAndTransition(this::restore, IOException.class);
   }
 
+  /**
+   * Stops applying entries until {@link #reinitialize}, while the Raft library replaces the
+   * snapshot. It is called once for each part of a snapshot.
+   */
+  @Override
+  public synchronized void pause() {
+    if (getLifeCycleState() == LifeCycle.State.RUNNING) {
+      getLifeCycle().transition(LifeCycle.State.PAUSING);
+      getLifeCycle().transition(LifeCycle.State.PAUSED);
+    }
+  }
+
+  /** Restores the snapshot that the Raft library has installed, and runs again. */
   @Override
   public void reinitialize() throws IOException {
-    restore();
+    getLifeCycle().startAndTransition(this::restore, IOException.class);
+  }
+
+  @Override
+  public void close() throws IOException {
+    getLifeCycle().checkStateAndClose(super::close);
   }
 
   private synchronized void restore() throws IOException {
--- a/coordinator/src/main/java/tidebank/coordinator/RaftReplica.java
+++ b/coordinator/src/main/java/tidebank/coordinator/RaftReplica.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.ratis.protocol.ClientId;
@@ -20,6 +22,7 @@
 import org.apache.ratis.server.storage.RaftStorage;
 import org.apache.ratis.statemachine.StateMachine;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.LifeCycle;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tidebank.errors.CoordinatorException;
@@ -43,6 +46,8 @@
   private final ClientId clientId = ClientId.randomId();
   private final AtomicLong lastCallId = new AtomicLong();
   private final CompletableFuture<TidebankException> failure = new CompletableFuture<>();
+  private final ScheduledExecutorService watchdog = newWatchdog();
+  private volatile boolean closing;
 
   RaftReplica(CoordinatorConfig config, StateMachine stateMachine) throws IOException {
     this.config = config;
@@ -62,6 +67,20 @@
 
   void start() throws IOException {
     server.start();
+    watchdog.scheduleWithFixedDelay(
+        this::checkAlive,
+        config.electionTimeoutUs(),
+        config.electionTimeoutUs(),
+        TimeUnit.MICROSECONDS);
+  }
+
+  private static ScheduledExecutorService newWatchdog() {
+    return Executors.newSingleThreadScheduledExecutor(
+        task -> {
+          Thread thread = new Thread(task, "replica-watchdog");
+          thread.setDaemon(true);
+          return thread;
+        });
   }
 
   // ---- requests
@@ -159,15 +178,39 @@
 
   // ---- failure
 
+  /**
+   * Checks whether the Raft library has closed this replica by itself, as it does after an error in
+   * the state machine. The process would run on without taking part in anything.
+   */
+  private void checkAlive() {
+    try {
+      LifeCycle.State state = server.getDivision(GROUP).getInfo().getLifeCycleState();
+      if (state.isClosingOrClosed() || state == LifeCycle.State.EXCEPTION) {
+        replicaClosed("its state is " + state);
+      }
+    } catch (IOException exception) {
+      replicaClosed(exception.toString());
+    }
+  }
+
+  private void replicaClosed(String reason) {
+    if (!closing) {
+      fail(new CoordinatorException.ReplicaClosed(config.name(), reason));
+    }
+  }
+
   /** Rejects all further requests, since the log can no longer be written. */
-  void fail(Throwable cause) {
+  void logFailed(Throwable cause) {
     Throwable root = cause;
     while (root.getCause() != null) {
       root = root.getCause();
     }
-    TidebankException exception =
+    fail(
         new StorageException.DataDirectoryUnusable(
-            config.dataDirectory().toString(), "cannot write the replicated log: " + root);
+            config.dataDirectory().toString(), "cannot write the replicated log: " + root));
+  }
+
+  private void fail(TidebankException exception) {
     if (failure.complete(exception)) {
       LOG.error(exception.details().toText().replace('\n', ' '));
     }
@@ -180,6 +223,8 @@
 
   @Override
   public void close() {
+    closing = true;
+    watchdog.shutdownNow();
     try {
       server.close();
     } catch (IOException exception) {
--- a/router/src/main/java/tidebank/errors/CoordinatorException.java
+++ b/router/src/main/java/tidebank/errors/CoordinatorException.java
@@ -131,4 +131,20 @@
       super("cannot listen on " + address + ": " + reason);
     }
   }
+
+  /** The coordinator's replica has closed after an error, and its process ends. */
+  @ErrorCondition(
+      code = "TB-1110",
+      retry = Retry.ELSEWHERE,
+      advice =
+          "Start the coordinator again with its folder. Its log names the error before this"
+              + " one; keep it and report it. Meanwhile a majority of the others has to run.")
+  public static final class ReplicaClosed extends CoordinatorException {
+    @Serial private static final long serialVersionUID = 1L;
+
+    /** Creates an error that names the values involved. */
+    public ReplicaClosed(String coordinator, String reason) {
+      super("the replica of coordinator " + coordinator + " has closed: " + reason);
+    }
+  }
 }
--- a/router/src/test/java/tidebank/ErrorsFixtureTest.java
+++ b/router/src/test/java/tidebank/ErrorsFixtureTest.java
@@ -51,6 +51,7 @@
           new StorageException.CorruptSnapshot("snapshot.1_2", "too short"),
           new StorageException.DataDirectoryUnusable("/folder", "read only"),
           new CoordinatorException.AddressTaken("127.0.0.1:7200", "in use"),
+          new CoordinatorException.ReplicaClosed("c1", "its state is CLOSED"),
           new TestbedException.ScriptUnknown("x", List.of("a", "b")),
           new TestbedException.RunUnknown("/folder"));
 
--- a/testbed/src/test/java/tidebank/testbed/fleet/CoordinatorProcessesTest.java
+++ b/testbed/src/test/java/tidebank/testbed/fleet/CoordinatorProcessesTest.java
@@ -22,6 +22,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -336,6 +337,83 @@
     }
   }
 
+  /**
+   * Guards against a coordinator that hangs after it was sent a snapshot, as the others no longer
+   * had the log entries that it lacked: with another one killed, no command was answered any more.
+   * Two members need a snapshot in turn.
+   */
+  @Test
+  void restartedCoordinatorsThatNeedASnapshotCountForTheQuorum() throws Exception {
+    try (CoordinatorProcesses coordinators =
+        new CoordinatorProcesses(
+            folder, 3, SETTINGS.replace("ms = 1500", "ms = 5000") + "[limits]\ntext = 4096\n")) {
+      CoordinatorClient client = client(coordinators);
+      Member holderMember = new Member("g0", "first", client);
+      holderMember.acquire("report");
+      int leader = awaitLeader(coordinators);
+      List<Integer> followers = List.of((leader + 1) % 3, (leader + 2) % 3);
+      long revision = 0;
+      for (int away : followers) {
+        coordinators.process(away).kill();
+        coordinators.process(away).waitFor(5000);
+        long written = openSegmentIndex(coordinators.dataDirectory(leader));
+        while (oldestSegmentIndex(coordinators.dataDirectory(leader)) <= written) {
+          revision = publish(holderMember, client, revision);
+        }
+        long missed = latestSnapshotIndex(coordinators.dataDirectory(away));
+        coordinators.start(away);
+        pollUntil(
+            () -> latestSnapshotIndex(coordinators.dataDirectory(away)), index -> index > missed);
+      }
+      coordinators.process(leader).kill();
+      assertThat(publish(holderMember, client, revision)).isEqualTo(revision + 1);
+      assertThat(lease(client, "report").revision()).isEqualTo(revision + 1);
+      for (int restarted : followers) {
+        assertThat(coordinators.process(restarted).lastLines()).doesNotContain("TB-1110");
+      }
+    }
+  }
+
+  /** Renews the lease if that is due and publishes a long value; returns its revision. */
+  private static long publish(Member holderMember, CoordinatorClient client, long revision)
+      throws Exception {
+    holderMember.acquire("report");
+    LeaseCommand publish =
+        holderMember.holder.createPublishCommand(
+            "report", revision, "v".repeat(4000), Member.nowUs());
+    CommandResult result = client.sendCommand(publish);
+    assertThat(result.error()).isNull();
+    holderMember.holder.handleResult(publish.sequence(), result, Member.nowUs());
+    return result.revision();
+  }
+
+  /** Returns the index of the first entry in the log's oldest segment, or -1. */
+  private static long oldestSegmentIndex(Path dataDirectory) throws IOException {
+    return firstIndexes(dataDirectory, "log_(?:inprogress_)?(\\d+)(?:-\\d+)?").min().orElse(-1);
+  }
+
+  /** Returns the index of the first entry in the log segment that is being written. */
+  private static long openSegmentIndex(Path dataDirectory) throws IOException {
+    return firstIndexes(dataDirectory, "log_inprogress_(\\d+)").max().orElse(-1);
+  }
+
+  private static long latestSnapshotIndex(Path dataDirectory) throws IOException {
+    return firstIndexes(dataDirectory, "snapshot\\.\\d+_(\\d+)").max().orElse(-1);
+  }
+
+  private static LongStream firstIndexes(Path dataDirectory, String fileName) throws IOException {
+    try (Stream<Path> files = Files.walk(dataDirectory)) {
+      return LongStream.of(
+          files
+              .map(path -> path.getFileName().toString())
+              .filter(name -> name.matches(fileName))
+              .mapToLong(name -> Long.parseLong(name.replaceAll(fileName, "$1")))
+              .toArray());
+    } catch (UncheckedIOException renamedMeanwhile) {
+      return LongStream.empty();
+    }
+  }
+
   private static List<Path> snapshots(Path dataDirectory) throws IOException {
     if (!Files.exists(dataDirectory)) {
       return List.of();
