--- a/router/src/main/java/tidebank/backend/HealthCheckQueue.java
+++ b/router/src/main/java/tidebank/backend/HealthCheckQueue.java
@@ -14,7 +14,7 @@
     private final byte type;
     private final long requestedAt;
 
-    /** Whether the policy has asked for it and is told its outcome. */
+    /** Whether the policy has asked for it and receives its outcome. */
     private final boolean isForPolicy;
 
     /** Where its frame ends in the byte stream of the connection, once it is written. */
--- a/router/src/main/java/tidebank/frontend/ClientConnection.java
+++ b/router/src/main/java/tidebank/frontend/ClientConnection.java
@@ -207,7 +207,7 @@
     refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
   }
 
-  /** Records the most bytes that incomplete bodies of all connections have held. */
+  /** Records the most bytes that incomplete bodies of all connections have used. */
   void recordIncompleteBodies(long peakBytes) {
     context.counters().raiseTo("front.body-bytes-peak", peakBytes);
   }
--- a/router/src/main/java/tidebank/frontend/RequestBodyBudget.java
+++ b/router/src/main/java/tidebank/frontend/RequestBodyBudget.java
@@ -17,8 +17,8 @@
 
   private final long maxBytes;
 
-  /** The bytes that each body holds, in the order in which the bodies began. */
-  private final Map<Body, Integer> heldBytes = new LinkedHashMap<>();
+  /** The bytes that each body uses, in the order in which the bodies began. */
+  private final Map<Body, Integer> bytesByBody = new LinkedHashMap<>();
 
   private long totalBytes;
   private long peakBytes;
@@ -27,14 +27,14 @@
     this.maxBytes = maxBytes;
   }
 
-  /** Returns the most bytes that were held at any time, after drops. */
+  /** Returns the most bytes that were used at any time, after drops. */
   long peakBytes() {
     return peakBytes;
   }
 
-  /** Records how many bytes a body holds now, and drops bodies if there are too many bytes. */
+  /** Records how many bytes a body uses now, and drops bodies if there are too many bytes. */
   void resize(Body body, int bytes) {
-    Integer before = heldBytes.put(body, bytes);
+    Integer before = bytesByBody.put(body, bytes);
     totalBytes += bytes - (before == null ? 0 : before);
     while (totalBytes > maxBytes) {
       Body largest = largest();
@@ -46,17 +46,17 @@
 
   /** Records that a body is complete or gone. */
   void release(Body body) {
-    Integer before = heldBytes.remove(body);
+    Integer before = bytesByBody.remove(body);
     totalBytes -= before == null ? 0 : before;
   }
 
   private Body largest() {
     Body largest = null;
     int mostBytes = -1;
-    for (Map.Entry<Body, Integer> held : heldBytes.entrySet()) {
-      if (held.getValue() > mostBytes) {
-        largest = held.getKey();
-        mostBytes = held.getValue();
+    for (Map.Entry<Body, Integer> entry : bytesByBody.entrySet()) {
+      if (entry.getValue() > mostBytes) {
+        largest = entry.getKey();
+        mostBytes = entry.getValue();
       }
     }
     return largest;
--- a/router/src/main/java/tidebank/frontend/RequestBodyBuffer.java
+++ b/router/src/main/java/tidebank/frontend/RequestBodyBuffer.java
@@ -66,10 +66,10 @@
 
   private void passOnBody(ChannelHandlerContext context) {
     if (body != null) {
-      ByteBuf whole = body;
+      ByteBuf complete = body;
       body = null;
       budget.release(this);
-      context.fireChannelRead(new DefaultHttpContent(whole));
+      context.fireChannelRead(new DefaultHttpContent(complete));
     }
   }
 
--- a/router/src/test/java/tidebank/CutLinkTest.java
+++ b/router/src/test/java/tidebank/CutLinkTest.java
@@ -50,10 +50,10 @@
     private final ServerSocket server;
 
     /** What the router has sent during the cut and not taken back by a reset. */
-    private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
 
     private boolean cut;
-    private boolean everHeld;
+    private boolean everBuffered;
 
     Link(ServerSocket server) throws IOException {
       this.server = server;
@@ -92,26 +92,26 @@
       InputStream in = router.getInputStream();
       try (toServer) {
         for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-          deliverOrHold(buffer, count, toServer.getOutputStream());
+          deliverOrBuffer(buffer, count, toServer.getOutputStream());
         }
       } catch (SocketException reset) {
-        discardHeld();
+        discardBuffered();
       }
     }
 
-    private synchronized void deliverOrHold(byte[] bytes, int count, OutputStream toServer)
+    private synchronized void deliverOrBuffer(byte[] bytes, int count, OutputStream toServer)
         throws IOException {
       if (cut) {
-        held.write(bytes, 0, count);
-        everHeld = true;
+        buffered.write(bytes, 0, count);
+        everBuffered = true;
         notifyAll();
       } else {
         toServer.write(bytes, 0, count);
       }
     }
 
-    private synchronized void discardHeld() {
-      held.reset();
+    private synchronized void discardBuffered() {
+      buffered.reset();
       notifyAll();
     }
 
@@ -120,8 +120,8 @@
     }
 
     /** Waits until the router has sent something during the cut. */
-    synchronized void awaitHeld() throws InterruptedException {
-      while (!everHeld) {
+    synchronized void awaitBuffered() throws InterruptedException {
+      while (!everBuffered) {
         wait();
       }
     }
@@ -129,11 +129,11 @@
     /** Waits for a reset, until this time at most; returns how many bytes would arrive then. */
     synchronized int awaitReset(long untilNanos) throws InterruptedException {
       long leftMs = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime());
-      while (held.size() > 0 && leftMs > 0) {
+      while (buffered.size() > 0 && leftMs > 0) {
         wait(leftMs);
         leftMs = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime());
       }
-      return held.size();
+      return buffered.size();
     }
 
     @Override
@@ -172,7 +172,7 @@
         assertThat(client.sendAndRead(queryRequest("once", "a" + i, 2900, 0, 1)).status())
             .isEqualTo(200);
       }
-      link.awaitHeld();
+      link.awaitBuffered();
       long lastSentAt = System.nanoTime();
       int late = link.awaitReset(nanosAfter(lastSentAt, FakeSite.KEY_WINDOW_MS + SLACK_MS));
       assertThat(late).as("bytes that arrive after the cut").isZero();
@@ -190,7 +190,7 @@
       assertThat(client.sendAndRead(queryRequest("whole", "warm", 900, 1)).status()).isEqualTo(200);
       link.cut();
       client.send(queryRequest("whole", "a", 900, 1));
-      link.awaitHeld();
+      link.awaitBuffered();
       client.close();
       int late = link.awaitReset(nanosAfter(System.nanoTime(), 900 + SLACK_MS));
       assertThat(late).as("bytes that arrive after the cut").isZero();
