--- a/router/src/main/java/tidebank/frontend/ClientPipeline.java
+++ b/router/src/main/java/tidebank/frontend/ClientPipeline.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpUtil;
+import tidebank.runtime.PolicyExecutor;
 
 /** Builds the channel pipeline of a client's connection, from bytes to complete requests. */
 final class ClientPipeline {
@@ -21,14 +22,18 @@
   static void build(
       Channel channel,
       ClientConnection connection,
+      FrontendContext context,
       RequestBodyBudget bodyBudget,
-      int maxBodyBytes,
       boolean overBudget) {
-    StrictRequestDecoder decoder = new StrictRequestDecoder();
+    StrictRequestDecoder decoder = new StrictRequestDecoder(context.executor());
     channel
         .pipeline()
-        .addLast(new RequestStartDetector(connection, decoder), decoder, new HttpResponseEncoder());
+        .addLast(
+            new RequestStartDetector(connection, decoder, context.executor()),
+            decoder,
+            new HttpResponseEncoder());
     if (!overBudget) {
+      int maxBodyBytes = context.config().transport().maxBodyBytes();
       RequestBodyBuffer buffer = new RequestBodyBuffer(connection, bodyBudget, maxBodyBytes);
       connection.setBodyBuffer(buffer);
       channel.pipeline().addLast(buffer, new BodyAggregator(connection, maxBodyBytes));
@@ -40,14 +45,18 @@
   private static final class RequestStartDetector extends ChannelInboundHandlerAdapter {
     private final ClientConnection connection;
     private final StrictRequestDecoder decoder;
+    private final PolicyExecutor executor;
 
-    RequestStartDetector(ClientConnection connection, StrictRequestDecoder decoder) {
+    RequestStartDetector(
+        ClientConnection connection, StrictRequestDecoder decoder, PolicyExecutor executor) {
       this.connection = connection;
       this.decoder = decoder;
+      this.executor = executor;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+      executor.clientInputRead(((ByteBuf) message).readableBytes());
       if (!StrictRequestDecoder.isBlank((ByteBuf) message)) {
         connection.requestBegan();
       }
--- a/router/src/main/java/tidebank/frontend/ClientServer.java
+++ b/router/src/main/java/tidebank/frontend/ClientServer.java
@@ -58,8 +58,7 @@
     boolean overBudget = !budget.ensureCapacity();
     ClientConnection connection = new ClientConnection(this, context, channel, overBudget);
     budget.add(connection);
-    ClientPipeline.build(
-        channel, connection, bodyBudget, context.config().transport().maxBodyBytes(), overBudget);
+    ClientPipeline.build(channel, connection, context, bodyBudget, overBudget);
     listener.setExhausted(budget.isExhausted());
   }
 
--- a/router/src/main/java/tidebank/frontend/StrictRequestDecoder.java
+++ b/router/src/main/java/tidebank/frontend/StrictRequestDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import tidebank.runtime.PolicyExecutor;
 
 /**
  * A stricter HTTP request decoder, which also tells whether a request is incomplete. Netty's own
@@ -13,8 +14,13 @@
  * which permits request smuggling; this one rejects such a request.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
+  private final PolicyExecutor executor;
   private boolean withinBody;
 
+  StrictRequestDecoder(PolicyExecutor executor) {
+    this.executor = executor;
+  }
+
   /** Returns whether the bytes are only line ends; RFC 9112, 2.2 ignores those before a request. */
   static boolean isBlank(ByteBuf bytes) {
     return bytes.forEachByte(octet -> octet == '\r' || octet == '\n') < 0;
@@ -30,6 +36,7 @@
       throws Exception {
     super.decode(context, in, out);
     for (Object decoded : out) {
+      executor.clientMessageParsed();
       withinBody =
           (withinBody || decoded instanceof HttpMessage) && !(decoded instanceof LastHttpContent);
     }
--- a/router/src/main/java/tidebank/runtime/DecisionLoop.java
+++ b/router/src/main/java/tidebank/runtime/DecisionLoop.java
@@ -28,6 +28,7 @@
   private final ActionExecutor actions;
   private final ReadDelayEstimator readDelay;
   private final EventLoopStallLogger stallLogger;
+  private final ClientInputStatistics clientInput = new ClientInputStatistics();
   private final Runnable endPass = this::endPass;
   private List<Event> events = new ArrayList<>();
 
@@ -91,6 +92,18 @@
     return readDelay.passNumber();
   }
 
+  /** Records that a read from a client's connection returned this many bytes. */
+  void clientInputRead(int byteCount) {
+    beginPass();
+    clientInput.recordRead(byteCount);
+  }
+
+  /** Records that an HTTP message of a client, or a piece of one, was parsed. */
+  void clientMessageParsed() {
+    beginPass();
+    clientInput.recordMessage();
+  }
+
   private void beginPass() {
     if (!passActive) {
       passActive = true;
@@ -101,13 +114,12 @@
 
   private void endPass() {
     passActive = false;
-    if (!events.isEmpty()) {
+    int eventCount = events.size();
+    if (eventCount > 0) {
       runRound();
     }
-    long durationUs = readDelay.endPass(clock.now());
-    if (!queries.isEmpty()) {
-      stallLogger.recordPass(durationUs);
-    }
+    stallLogger.recordPass(readDelay.endPass(clock.now()), eventCount, clientInput);
+    clientInput.reset();
     runIfIdle();
   }
 
--- a/router/src/main/java/tidebank/runtime/EventLoopStallLogger.java
+++ b/router/src/main/java/tidebank/runtime/EventLoopStallLogger.java
@@ -28,11 +28,15 @@
     }
   }
 
-  /** Records the duration of an event loop pass during which queries were pending. */
-  void recordPass(long durationUs) {
+  /** Records the duration of an event loop pass and the work that it did. */
+  void recordPass(long durationUs, int events, ClientInputStatistics input) {
     if (durationUs >= MIN_LOGGED_US) {
       counters.increment("passes.long");
-      LOG.info("event loop pass slow: duration_ms={}", durationUs / 1000);
+      LOG.info(
+          "event loop pass slow: duration_ms={} policy_events={} {}",
+          durationUs / 1000,
+          events,
+          input.describe());
     }
   }
 }
--- a/router/src/main/java/tidebank/runtime/PolicyExecutor.java
+++ b/router/src/main/java/tidebank/runtime/PolicyExecutor.java
@@ -195,6 +195,16 @@
     return Math.min(decisions.earliestArrivalTime(), clock.now() - timers.overdueUs());
   }
 
+  /** Records that a read from a client's connection returned this many bytes. */
+  public void clientInputRead(int byteCount) {
+    decisions.clientInputRead(byteCount);
+  }
+
+  /** Records that an HTTP message of a client, or a piece of one, was parsed. */
+  public void clientMessageParsed() {
+    decisions.clientMessageParsed();
+  }
+
   /** Returns the number of the current event loop pass, from 1. */
   public long passNumber() {
     return decisions.passNumber();
