--- /dev/null
+++ b/router/src/test/java/tidebank/FloodClient.java
@@ -0,0 +1,97 @@
+package tidebank;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.function.IntFunction;
+
+/**
+ * A client that sends input at full speed from a thread of its own until it is closed, and connects
+ * again whenever the router ends its connection.
+ */
+final class FloodClient implements AutoCloseable {
+  /** The bytes of a write: at least this many, up to the end of a request. */
+  private static final int WRITE_BYTES = 64 * 1024;
+
+  private static final int READ_BYTES = 64 * 1024;
+
+  private final InetSocketAddress address;
+  private final String preamble;
+  private final IntFunction<String> request;
+  private final boolean readsResponses;
+  private final Thread writer;
+  private volatile Socket socket;
+  private volatile boolean closed;
+  private int sent;
+
+  /**
+   * Starts a client.
+   *
+   * @param preamble what it sends first on each connection
+   * @param request returns what it sends then, again and again, by a running number
+   * @param readsResponses whether it reads responses; otherwise they stay unread
+   */
+  FloodClient(
+      InetSocketAddress address,
+      String preamble,
+      IntFunction<String> request,
+      boolean readsResponses) {
+    this.address = address;
+    this.preamble = preamble;
+    this.request = request;
+    this.readsResponses = readsResponses;
+    writer = new Thread(this::sendUntilClosed, "flood");
+    writer.start();
+  }
+
+  private void sendUntilClosed() {
+    while (!closed) {
+      try (Socket connection = new Socket()) {
+        socket = connection;
+        connection.connect(address);
+        if (readsResponses) {
+          new Thread(() -> readUntilEnd(connection), "flood-reader").start();
+        }
+        sendUntilReset(connection);
+      } catch (IOException ended) {
+        // The router has ended the connection, or the test the client.
+      }
+    }
+  }
+
+  private void sendUntilReset(Socket connection) throws IOException {
+    connection.getOutputStream().write(preamble.getBytes(StandardCharsets.ISO_8859_1));
+    while (!closed) {
+      StringBuilder block = new StringBuilder(2 * WRITE_BYTES);
+      while (block.length() < WRITE_BYTES) {
+        block.append(request.apply(sent++));
+      }
+      connection.getOutputStream().write(block.toString().getBytes(StandardCharsets.ISO_8859_1));
+    }
+  }
+
+  /** Reads until the router ends its side, then closes the connection. */
+  private static void readUntilEnd(Socket connection) {
+    byte[] buffer = new byte[READ_BYTES];
+    try (InputStream in = connection.getInputStream()) {
+      int count = 0;
+      while (count >= 0) {
+        count = in.read(buffer);
+      }
+    } catch (IOException ended) {
+      // The connection was reset, or closed by the writer.
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    closed = true;
+    Socket current = socket;
+    if (current != null) {
+      current.close();
+    }
+    writer.join();
+  }
+}
