Limit how much client input is parsed in a pass, so that floods delay nobody else

Cause: each pass of the event loop read up to 16 buffers of 16 KiB from each client's connection and parsed and answered all of it: 6,500 readiness checks a connection. Nothing else was read or sent before the pass ended. Input behind a refused request was still parsed, one message a chunk, before it was dropped, and empty lines were scanned without limit.

Evidence: the log of slow passes on the code before says 39,000 requests (78,140 messages) in a pass of 1,467 ms, with no event of the policy; passes grow with the messages in them, and not with time.

Change: ParseQuota lets each connection have 4 messages parsed in a pass beside the first of each read, and up to 32 out of 128 for all. What is beyond is not parsed, and no more is read, until it is the connection's turn in a later pass; the wait counts towards the client's time. Where requests of the connection are pending, what follows is refused instead, as only reading finds a disconnect. Dropped input is no longer parsed, and more than 1 KiB of empty lines is refused with 400.

--- a/router/src/main/java/tidebank/frontend/ClientConnection.java
+++ b/router/src/main/java/tidebank/frontend/ClientConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -54,6 +53,9 @@
   /** Holds the body of an incomplete request; null if no request is served. */
   private RequestBodyBuffer bodyBuffer;
 
+  /** Reads the connection's input. */
+  private ClientInputHandler input;
+
   private long idleSince;
 
   /** Creates a connection; if {@code overBudget}, its first request is refused unseen. */
@@ -74,6 +76,10 @@
     bodyBuffer = buffer;
   }
 
+  void setInput(ClientInputHandler newInput) {
+    input = newInput;
+  }
+
   // ---- state
 
   /** Returns whether further input is read as requests; otherwise it is dropped. */
@@ -99,6 +105,11 @@
     return arrival.hasIncompleteRequest();
   }
 
+  /** Returns whether a request waits for its response. */
+  boolean hasPendingRequests() {
+    return !exchanges.isEmpty();
+  }
+
   /** Returns whether the final response was written or the connection is closed. */
   boolean isLingeringOrClosed() {
     return state.compareTo(State.LINGERING) >= 0;
@@ -156,8 +167,7 @@
       context.counters().increment("front.refused-connections");
       refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections");
     } else if (isFull && message instanceof HttpRequest) {
-      context.counters().increment("front.refused-at-once");
-      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests at once");
+      refuseFurtherRequests();
     } else if (message instanceof FullHttpRequest request) {
       requestBegan();
       timers.cancelRequest();
@@ -207,6 +217,18 @@
     refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
   }
 
+  /** Refuses the next request, and drops what follows, as earlier ones wait for a response. */
+  void refuseFurtherRequests() {
+    context.counters().increment("front.refused-at-once");
+    refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests at once");
+  }
+
+  /** Refuses to read more empty lines. */
+  void refuseBlankInput() {
+    context.counters().increment("front.malformed");
+    refuse(HttpResponseStatus.BAD_REQUEST, "no valid HTTP");
+  }
+
   /** Records the most bytes that incomplete bodies of all connections have used. */
   void recordIncompleteBodies(long peakBytes) {
     context.counters().raiseTo("front.body-bytes-peak", peakBytes);
@@ -340,9 +362,24 @@
 
   /** Reads the available input, or the end of the stream, without waiting for the next poll. */
   void readNow() {
-    if (channel instanceof AbstractNioChannel nioChannel && channel.isActive()) {
-      nioChannel.unsafe().read();
-    }
+    input.readNow();
+  }
+
+  /** Reads until no input is left, so that a disconnect of the client is found. */
+  void readToEnd() {
+    input.readToEnd();
+  }
+
+  /**
+   * Records that all input was read. If the client has disconnected, that is found in this pass.
+   */
+  void inputDrained() {
+    arrival.markDrained();
+  }
+
+  /** Records that a read has left input unread, or unparsed. */
+  void inputLeftUnread() {
+    arrival.markLeftUnread();
   }
 
   /** Responds with 500 after an internal failure; the connection ends with the response. */
--- /dev/null
+++ b/router/src/main/java/tidebank/frontend/ClientInputHandler.java
@@ -0,0 +1,187 @@
+package tidebank.frontend;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.nio.AbstractNioChannel;
+import tidebank.runtime.PolicyExecutor;
+
+/**
+ * Reads the input of a client's connection, ahead of the decoder. Input beyond the {@link
+ * ParseQuota} is not parsed, and no more is read, until it is the connection's turn. Input behind
+ * the last request that is served is dropped unparsed.
+ *
+ * <p>A disconnect is only found by reading all input before it. So each read also tells the
+ * connection whether all input was read, and a connection never waits for its turn while requests
+ * of it are pending: what follows them is refused instead.
+ */
+final class ClientInputHandler extends ChannelDuplexHandler {
+  /** The most reads from one client's connection in an event loop pass; Netty's default. */
+  static final int MAX_READS_PER_PASS = 16;
+
+  /** The most repetitions of these reads to find the end of the input behind a query. */
+  private static final int MAX_REPETITIONS = 4;
+
+  /** RFC 9112, 2.2 ignores empty lines before a request; a server may limit them. */
+  private static final int MAX_BLANK_BYTES = 1024;
+
+  private final ClientConnection connection;
+  private final PolicyExecutor executor;
+  private final ClientInputScheduler scheduler;
+  private final ParseQuota.Usage usage = new ParseQuota.Usage();
+  private StrictRequestDecoder decoder;
+  private ChannelHandlerContext context;
+  private boolean quotaExceeded;
+
+  /** Whether no message of the latest read was parsed yet; the number of reads is limited. */
+  private boolean firstOfRead;
+
+  private boolean paused;
+  private boolean drained;
+  private int reads;
+  private int blankBytes;
+
+  ClientInputHandler(
+      ClientConnection connection, PolicyExecutor executor, ClientInputScheduler scheduler) {
+    this.connection = connection;
+    this.executor = executor;
+    this.scheduler = scheduler;
+  }
+
+  void setDecoder(StrictRequestDecoder newDecoder) {
+    decoder = newDecoder;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext newContext) {
+    context = newContext;
+  }
+
+  @Override
+  public void handlerRemoved(ChannelHandlerContext oldContext) {
+    scheduler.remove(this);
+  }
+
+  // ---- called by the decoder
+
+  /** Returns whether input is dropped, as no further request is served. */
+  boolean dropsInput() {
+    return !connection.readsRequests();
+  }
+
+  /** Returns whether another message may be parsed now. */
+  boolean mayParse() {
+    quotaExceeded = !firstOfRead && !scheduler.allows(usage);
+    return !quotaExceeded;
+  }
+
+  /** Records that a message was parsed. The first one of each read does not count. */
+  void recordMessage() {
+    executor.clientMessageParsed();
+    if (!firstOfRead) {
+      scheduler.recordMessage(usage);
+    }
+    firstOfRead = false;
+  }
+
+  // ---- reading
+
+  /** Returns whether nothing is read until it is the connection's turn. */
+  boolean isPaused() {
+    return paused;
+  }
+
+  /** Reads all available input, or as much as is read of one connection at a time. */
+  void readNow() {
+    if (!paused && context.channel() instanceof AbstractNioChannel channel && channel.isActive()) {
+      channel.unsafe().read();
+    }
+  }
+
+  /** Reads until no input is left, unless there is far more than a client needs to send. */
+  void readToEnd() {
+    readNow();
+    for (int i = 0; i < MAX_REPETITIONS && !drained && context.channel().isActive(); i++) {
+      readNow();
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext unused, Object message) {
+    ByteBuf bytes = (ByteBuf) message;
+    reads++;
+    executor.clientInputRead(bytes.readableBytes());
+    if (dropsInput()) {
+      bytes.release();
+      return;
+    }
+    if (!StrictRequestDecoder.isBlank(bytes)) {
+      blankBytes = 0;
+      connection.requestBegan();
+    } else if (!decoder.isWithinRequest()) {
+      blankBytes += bytes.readableBytes();
+    }
+    firstOfRead = true;
+    parse(bytes);
+    if (blankBytes > MAX_BLANK_BYTES && !dropsInput()) {
+      connection.refuseBlankInput();
+    }
+  }
+
+  private void parse(ByteBuf bytes) {
+    quotaExceeded = false;
+    context.fireChannelRead(bytes);
+    if (dropsInput()) {
+      return;
+    }
+    if (decoder.isWithinRequest()) {
+      connection.requestBegan();
+    }
+    if (quotaExceeded) {
+      waitForTurn();
+    }
+  }
+
+  private void waitForTurn() {
+    if (connection.hasPendingRequests()) {
+      connection.refuseFurtherRequests();
+      // Lets the decoder drop the rest.
+      context.fireChannelRead(Unpooled.EMPTY_BUFFER);
+      return;
+    }
+    paused = true;
+    context.channel().config().setAutoRead(false);
+    scheduler.resumeLater(this, context.channel().eventLoop());
+  }
+
+  /** Continues with the rest of the input; called when it is the connection's turn. */
+  void resume() {
+    paused = false;
+    parse(Unpooled.EMPTY_BUFFER);
+    context.fireChannelReadComplete();
+    if (!paused) {
+      context.channel().config().setAutoRead(true);
+    }
+  }
+
+  /** Handlers ask for more input if a request is incomplete; nothing is read while paused. */
+  @Override
+  public void read(ChannelHandlerContext unused) {
+    if (!paused) {
+      context.read();
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext unused) {
+    drained = !paused && reads < MAX_READS_PER_PASS;
+    reads = 0;
+    if (drained) {
+      connection.inputDrained();
+    } else {
+      connection.inputLeftUnread();
+    }
+    context.fireChannelReadComplete();
+  }
+}
--- a/router/src/main/java/tidebank/frontend/ClientPipeline.java
+++ b/router/src/main/java/tidebank/frontend/ClientPipeline.java
@@ -1,15 +1,12 @@
 package tidebank.frontend;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpUtil;
-import tidebank.runtime.PolicyExecutor;
 
 /** Builds the channel pipeline of a client's connection, from bytes to complete requests. */
 final class ClientPipeline {
@@ -23,15 +20,14 @@
       Channel channel,
       ClientConnection connection,
       FrontendContext context,
+      ClientInputScheduler scheduler,
       RequestBodyBudget bodyBudget,
       boolean overBudget) {
-    StrictRequestDecoder decoder = new StrictRequestDecoder(context.executor());
-    channel
-        .pipeline()
-        .addLast(
-            new RequestStartDetector(connection, decoder, context.executor()),
-            decoder,
-            new HttpResponseEncoder());
+    ClientInputHandler input = new ClientInputHandler(connection, context.executor(), scheduler);
+    StrictRequestDecoder decoder = new StrictRequestDecoder(input);
+    input.setDecoder(decoder);
+    connection.setInput(input);
+    channel.pipeline().addLast(input, decoder, new HttpResponseEncoder());
     if (!overBudget) {
       int maxBodyBytes = context.config().transport().maxBodyBytes();
       RequestBodyBuffer buffer = new RequestBodyBuffer(connection, bodyBudget, maxBodyBytes);
@@ -41,32 +37,6 @@
     channel.pipeline().addLast(new ClientChannelHandler(connection));
   }
 
-  /** Notifies a connection when a request begins, also if it directly follows another one. */
-  private static final class RequestStartDetector extends ChannelInboundHandlerAdapter {
-    private final ClientConnection connection;
-    private final StrictRequestDecoder decoder;
-    private final PolicyExecutor executor;
-
-    RequestStartDetector(
-        ClientConnection connection, StrictRequestDecoder decoder, PolicyExecutor executor) {
-      this.connection = connection;
-      this.decoder = decoder;
-      this.executor = executor;
-    }
-
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      executor.clientInputRead(((ByteBuf) message).readableBytes());
-      if (!StrictRequestDecoder.isBlank((ByteBuf) message)) {
-        connection.requestBegan();
-      }
-      context.fireChannelRead(message);
-      if (decoder.isWithinRequest()) {
-        connection.requestBegan();
-      }
-    }
-  }
-
   /**
    * Joins requests and their bodies, up to the size limit. An expectation of 100 (Continue) is met
    * or ignored, but not refused: Netty's refusal would overtake responses that are due before it,
--- a/router/src/main/java/tidebank/frontend/ClientServer.java
+++ b/router/src/main/java/tidebank/frontend/ClientServer.java
@@ -16,10 +16,14 @@
  * a shutdown. Confined to the event loop except for {@link #listen}.
  */
 public final class ClientServer {
+  /** The most reads from one client's connection in an event loop pass. */
+  public static final int MAX_READS_PER_PASS = ClientInputHandler.MAX_READS_PER_PASS;
+
   private final FrontendContext context;
   private final RequestRouter router;
   private final ConnectionBudget budget;
   private final RequestBodyBudget bodyBudget;
+  private final ClientInputScheduler inputScheduler;
   private final ListeningSocket listener;
   private final BooleanSupplier canServe;
   private boolean draining;
@@ -39,6 +43,7 @@
     this.budget = new ConnectionBudget(context);
     this.bodyBudget = new RequestBodyBudget(config.budgets().maxIncompleteBodyBytes());
     counters.raiseTo("front.body-bytes-budget", config.budgets().maxIncompleteBodyBytes());
+    this.inputScheduler = new ClientInputScheduler(executor);
     this.listener = new ListeningSocket(clock, timers, counters);
   }
 
@@ -58,7 +63,7 @@
     boolean overBudget = !budget.ensureCapacity();
     ClientConnection connection = new ClientConnection(this, context, channel, overBudget);
     budget.add(connection);
-    ClientPipeline.build(channel, connection, context, bodyBudget, overBudget);
+    ClientPipeline.build(channel, connection, context, inputScheduler, bodyBudget, overBudget);
     listener.setExhausted(budget.isExhausted());
   }
 
--- a/router/src/main/java/tidebank/frontend/HttpExchange.java
+++ b/router/src/main/java/tidebank/frontend/HttpExchange.java
@@ -120,7 +120,7 @@
 
   @Override
   public void pollClientConnection() {
-    connection.readNow();
+    connection.readToEnd();
   }
 
   /** Responds with a line of text. */
--- /dev/null
+++ b/router/src/main/java/tidebank/frontend/ParseQuota.java
@@ -0,0 +1,58 @@
+package tidebank.frontend;
+
+/**
+ * Decides how many HTTP messages of the clients are parsed in an event loop pass, so that no pass
+ * takes long and no connection delays the others. A part of a message that the decoder passes on by
+ * itself, such as a chunk of a body, counts as a message.
+ */
+final class ParseQuota {
+  /** Parsed for each connection in any case, enough for a small request with its body. */
+  static final int GUARANTEED_MESSAGES = 4;
+
+  /** The most that is parsed for one connection; more than the requests that it may pipeline. */
+  static final int MAX_MESSAGES = 32;
+
+  /** Shared by all connections, for what goes beyond the guaranteed messages. */
+  static final int SHARED_MESSAGES = 128;
+
+  /** What one connection has used of the quota. */
+  static final class Usage {
+    private long passNumber;
+    private int messages;
+  }
+
+  private long passNumber;
+  private int sharedMessages;
+
+  /** Returns whether another message of a connection may be parsed in this pass. */
+  boolean allows(Usage usage, long currentPass) {
+    beginPass(usage, currentPass);
+    return usage.messages < GUARANTEED_MESSAGES
+        || (usage.messages < MAX_MESSAGES && sharedMessages < SHARED_MESSAGES);
+  }
+
+  /** Records that a message of a connection was parsed in this pass. */
+  void recordMessage(Usage usage, long currentPass) {
+    beginPass(usage, currentPass);
+    usage.messages++;
+    if (usage.messages > GUARANTEED_MESSAGES) {
+      sharedMessages++;
+    }
+  }
+
+  /** Returns whether connections have used up in this pass what they share. */
+  boolean isSharedQuotaUsed(long currentPass) {
+    return passNumber == currentPass && sharedMessages >= SHARED_MESSAGES;
+  }
+
+  private void beginPass(Usage usage, long currentPass) {
+    if (passNumber != currentPass) {
+      passNumber = currentPass;
+      sharedMessages = 0;
+    }
+    if (usage.passNumber != currentPass) {
+      usage.passNumber = currentPass;
+      usage.messages = 0;
+    }
+  }
+}
--- a/router/src/main/java/tidebank/frontend/RequestArrival.java
+++ b/router/src/main/java/tidebank/frontend/RequestArrival.java
@@ -10,12 +10,17 @@
   /** Stands for no incomplete request; actual times are far above 0. */
   private static final long NOT_BEGUN = 0;
 
+  private static final long NEVER = Long.MAX_VALUE;
+
   private final PolicyExecutor executor;
   private final long acceptedInPass;
   private final long earliestConnectTime;
   private long beganAt = NOT_BEGUN;
   private boolean requestReceived;
 
+  /** Since when input may have been left unread, or {@link #NEVER}. */
+  private long unreadSince = NEVER;
+
   /**
    * Creates a tracker; called in the event loop pass that accepts the connection.
    *
@@ -57,9 +62,21 @@
   /**
    * Returns the earliest time at which bytes read now may have arrived. The first request may have
    * arrived before the pass that accepted its connection, if the connection waited to be accepted.
+   * Input may have waited since a pass that left some unread.
    */
   long earliestArrivalTime() {
     boolean justAccepted = !requestReceived && executor.passNumber() <= acceptedInPass + 1;
-    return justAccepted ? earliestConnectTime : executor.earliestArrivalTime();
+    long arrivalTime = justAccepted ? earliestConnectTime : executor.earliestArrivalTime();
+    return Math.min(arrivalTime, unreadSince);
+  }
+
+  /** Records that all input of the connection was read. */
+  void markDrained() {
+    unreadSince = NEVER;
+  }
+
+  /** Records that input was left unread, or read but not parsed. */
+  void markLeftUnread() {
+    unreadSince = earliestArrivalTime();
   }
 }
--- a/router/src/main/java/tidebank/frontend/StrictRequestDecoder.java
+++ b/router/src/main/java/tidebank/frontend/StrictRequestDecoder.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
-import tidebank.runtime.PolicyExecutor;
 
 /**
  * A stricter HTTP request decoder, which also tells whether a request is incomplete. Netty's own
@@ -14,11 +13,11 @@
  * which permits request smuggling; this one rejects such a request.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
-  private final PolicyExecutor executor;
+  private final ClientInputHandler input;
   private boolean withinBody;
 
-  StrictRequestDecoder(PolicyExecutor executor) {
-    this.executor = executor;
+  StrictRequestDecoder(ClientInputHandler input) {
+    this.input = input;
   }
 
   /** Returns whether the bytes are only line ends; RFC 9112, 2.2 ignores those before a request. */
@@ -34,9 +33,19 @@
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
       throws Exception {
+    if (input.dropsInput()) {
+      in.skipBytes(in.readableBytes());
+      return;
+    }
+    if (!input.mayParse()) {
+      // Consuming nothing ends the decoding of this read.
+      return;
+    }
     super.decode(context, in, out);
+    if (!out.isEmpty()) {
+      input.recordMessage();
+    }
     for (Object decoded : out) {
-      executor.clientMessageParsed();
       withinBody =
           (withinBody || decoded instanceof HttpMessage) && !(decoded instanceof LastHttpContent);
     }
--- a/router/src/main/java/tidebank/runtime/ClientInputStatistics.java
+++ b/router/src/main/java/tidebank/runtime/ClientInputStatistics.java
@@ -22,6 +22,11 @@
     messages++;
   }
 
+  /** Returns whether anything was read from a client's connection. */
+  boolean hasReads() {
+    return reads > 0;
+  }
+
   /** Starts counting from 0 for the next pass. */
   void reset() {
     reads = 0;
--- a/router/src/main/java/tidebank/runtime/DecisionLoop.java
+++ b/router/src/main/java/tidebank/runtime/DecisionLoop.java
@@ -118,7 +118,10 @@
     if (eventCount > 0) {
       runRound();
     }
-    stallLogger.recordPass(readDelay.endPass(clock.now()), eventCount, clientInput);
+    long durationUs = readDelay.endPass(clock.now());
+    if (!queries.isEmpty() || clientInput.hasReads()) {
+      stallLogger.recordPass(durationUs, eventCount, clientInput);
+    }
     clientInput.reset();
     runIfIdle();
   }
--- a/router/src/main/java/tidebank/runtime/EventLoopStallLogger.java
+++ b/router/src/main/java/tidebank/runtime/EventLoopStallLogger.java
@@ -28,7 +28,7 @@
     }
   }
 
-  /** Records the duration of an event loop pass and the work that it did. */
+  /** Records the duration of an event loop pass that clients waited for, and what it did. */
   void recordPass(long durationUs, int events, ClientInputStatistics input) {
     if (durationUs >= MIN_LOGGED_US) {
       counters.increment("passes.long");
--- a/router/src/main/java/tidebank/runtime/NettyResources.java
+++ b/router/src/main/java/tidebank/runtime/NettyResources.java
@@ -17,6 +17,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import tidebank.config.RouterConfig;
+import tidebank.frontend.ClientServer;
 
 /** The event loop of a router, its buffer allocator and the options of its sockets. */
 final class NettyResources {
@@ -25,9 +26,6 @@
   /** Makes chunks of 8 KiB * 2^6 = 512 KiB; a single arena with few of them serves a router. */
   private static final int CHUNK_ORDER = 6;
 
-  /** The most reads from one client's connection in an event loop pass; Netty's default. */
-  private static final int MAX_READS_PER_PASS = 16;
-
   private static final int QUIET_PERIOD_S = 0;
   private static final int SHUTDOWN_TIMEOUT_S = 1;
 
@@ -97,7 +95,7 @@
             budgets.initialReadBufferBytes(),
             budgets.maxReadBufferBytes())
         .respectMaybeMoreData(false)
-        .maxMessagesPerRead(MAX_READS_PER_PASS);
+        .maxMessagesPerRead(ClientServer.MAX_READS_PER_PASS);
   }
 
   private WriteBufferWaterMark waterMark() {
--- /dev/null
+++ b/router/src/test/java/tidebank/frontend/ParseQuotaTest.java
@@ -0,0 +1,49 @@
+package tidebank.frontend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against one connection, or many, that keep an event loop pass busy with their input. */
+class ParseQuotaTest {
+  private final ParseQuota quota = new ParseQuota();
+
+  /** Parses as many messages as allowed in a pass and returns their number. */
+  private int parseAll(ParseQuota.Usage usage, long pass) {
+    int messages = 0;
+    while (quota.allows(usage, pass)) {
+      quota.recordMessage(usage, pass);
+      messages++;
+    }
+    return messages;
+  }
+
+  @Test
+  void oneConnectionIsLimitedInEachPass() {
+    ParseQuota.Usage usage = new ParseQuota.Usage();
+    assertThat(parseAll(usage, 1)).isEqualTo(ParseQuota.MAX_MESSAGES);
+    assertThat(parseAll(usage, 1)).isZero();
+    assertThat(parseAll(usage, 2)).isEqualTo(ParseQuota.MAX_MESSAGES);
+  }
+
+  @Test
+  void manyConnectionsShareWhatExceedsTheGuaranteedMessages() {
+    int total = 0;
+    for (int i = 0; i < 100; i++) {
+      int messages = parseAll(new ParseQuota.Usage(), 1);
+      assertThat(messages).isGreaterThanOrEqualTo(ParseQuota.GUARANTEED_MESSAGES);
+      total += messages;
+    }
+    assertThat(total).isEqualTo(100 * ParseQuota.GUARANTEED_MESSAGES + ParseQuota.SHARED_MESSAGES);
+    assertThat(quota.isSharedQuotaUsed(1)).isTrue();
+    assertThat(quota.isSharedQuotaUsed(2)).isFalse();
+  }
+
+  @Test
+  void connectionThatSendsLittleIsNotAffectedByOthers() {
+    for (int i = 0; i < 10; i++) {
+      parseAll(new ParseQuota.Usage(), 1);
+    }
+    assertThat(quota.allows(new ParseQuota.Usage(), 1)).isTrue();
+  }
+}
--- a/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
+++ b/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
@@ -37,6 +37,7 @@
           "tidebank.capture.SegmentRetention",
           "tidebank.fleet.FleetReport",
           "tidebank.fleet.RemovalList",
+          "tidebank.frontend.ParseQuota",
           "tidebank.frontend.RequestBodyBudget",
           "tidebank.runtime.Readiness",
           "tidebank.runtime.ReadDelayEstimator",
