Send a query on only if all input behind it was read, so that a disconnect is known

Cause: a pass read at most 16 buffers of a connection, so the end of the stream behind more input was not seen before the decision round of the same pass sent the queries. The check before an attempt is written had the same limit.

Change: where a pass leaves input unread behind a pending query, the connection is read up to four times more; input behind the last request served is only dropped. If there is still more, the queries of which nothing was sent are withdrawn and get 503, counted as scans.withdrawn. So are those that are parsed when a waiting connection gets its turn.

--- a/router/src/main/java/tidebank/frontend/ClientConnection.java
+++ b/router/src/main/java/tidebank/frontend/ClientConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.ArrayDeque;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tidebank.runtime.QueryRequest;
@@ -309,6 +310,16 @@
     }
   }
 
+  /** Refuses the queries of which nothing was sent to a shard server. */
+  void refuseUnsentQueries() {
+    List.copyOf(exchanges).forEach(HttpExchange::refuseIfUnsent);
+  }
+
+  /** Closes a query if nothing of it was sent. Returns whether this call closed it. */
+  boolean withdrawQuery(QueryRequest query) {
+    return context.executor().withdrawQuery(query.id());
+  }
+
   // ---- time limits
 
   /** Starts or cancels the time limit for a client that does not read its responses. */
--- a/router/src/main/java/tidebank/frontend/ClientInputHandler.java
+++ b/router/src/main/java/tidebank/frontend/ClientInputHandler.java
@@ -12,9 +12,9 @@
  * ParseQuota} is not parsed, and no more is read, until it is the connection's turn. Input behind
  * the last request that is served is dropped unparsed.
  *
- * <p>A disconnect is only found by reading all input before it. So each read also tells the
- * connection whether all input was read, and a connection never waits for its turn while requests
- * of it are pending: what follows them is refused instead.
+ * <p>A disconnect is only found by reading all input before it. So a connection never waits for its
+ * turn while requests of it are pending: what follows them is refused instead. A query is only sent
+ * on if all input behind it was read.
  */
 final class ClientInputHandler extends ChannelDuplexHandler {
   /** The most reads from one client's connection in an event loop pass; Netty's default. */
@@ -39,6 +39,7 @@
 
   private boolean paused;
   private boolean drained;
+  private boolean repeating;
   private int reads;
   private int blankBytes;
 
@@ -99,11 +100,23 @@
     }
   }
 
-  /** Reads until no input is left, unless there is far more than a client needs to send. */
+  /**
+   * Reads until no input is left, so that a disconnect is found. If that takes far more reads than
+   * the requests of a client, queries that were not sent yet are refused instead.
+   */
   void readToEnd() {
     readNow();
+    finishReading();
+  }
+
+  private void finishReading() {
     for (int i = 0; i < MAX_REPETITIONS && !drained && context.channel().isActive(); i++) {
+      repeating = true;
       readNow();
+      repeating = false;
+    }
+    if (!drained) {
+      connection.refuseUnsentQueries();
     }
   }
 
@@ -162,6 +175,9 @@
     context.fireChannelReadComplete();
     if (!paused) {
       context.channel().config().setAutoRead(true);
+      if (connection.hasPendingRequests()) {
+        readToEnd();
+      }
     }
   }
 
@@ -183,5 +199,8 @@
       connection.inputLeftUnread();
     }
     context.fireChannelReadComplete();
+    if (!drained && !repeating && connection.hasPendingRequests()) {
+      finishReading();
+    }
   }
 }
--- a/router/src/main/java/tidebank/frontend/HttpExchange.java
+++ b/router/src/main/java/tidebank/frontend/HttpExchange.java
@@ -62,6 +62,13 @@
     }
   }
 
+  /** Refuses the query unless an attempt of it was sent, as its client may have disconnected. */
+  void refuseIfUnsent() {
+    if (query != null && connection.withdrawQuery(query)) {
+      respond(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much input behind the request");
+    }
+  }
+
   @Override
   public void onResponse(boolean complete, List<Value> values) {
     ByteBuf body;
--- a/router/src/main/java/tidebank/runtime/PendingQuery.java
+++ b/router/src/main/java/tidebank/runtime/PendingQuery.java
@@ -81,6 +81,11 @@
     return callback == null;
   }
 
+  /** Returns whether an attempt of any shard request was created. */
+  boolean hasAttempts() {
+    return shardRequests.values().stream().anyMatch(one -> !one.attempts().isEmpty());
+  }
+
   /** Records that an attempt was created. */
   void recordAttempt(long now) {
     lastAttemptAt = now;
--- a/router/src/main/java/tidebank/runtime/PolicyExecutor.java
+++ b/router/src/main/java/tidebank/runtime/PolicyExecutor.java
@@ -111,6 +111,22 @@
     }
   }
 
+  /**
+   * Closes a query without calling its callback, unless an attempt of it was created. Returns
+   * whether this call closed the query.
+   */
+  public boolean withdrawQuery(String id) {
+    PendingQuery query = queries.find(id);
+    if (query == null || query.hasAttempts()) {
+      return false;
+    }
+    counters.increment("scans.throttled");
+    counters.increment("scans.withdrawn");
+    queries.close(query);
+    enqueue(new Event.ClientDisconnected(id));
+    return true;
+  }
+
   /**
    * Closes the query if its client has disconnected, which also drops attempts that are not written
    * yet. Called before the first byte of an attempt is written: the poll before the decision may be
