Refuse a query whose id may have run before and must not run twice

Cause: an id was only known while its query was open or an attempt of it was out. The protocol asks for a new id on every request, but nothing held a client to it.

Other routers and a router after a restart don't know of them.

--- a/router/src/main/java/tidebank/frontend/RequestRouter.java
+++ b/router/src/main/java/tidebank/frontend/RequestRouter.java
@@ -76,7 +76,7 @@
       connection.reject(exchange, fault.status(), fault.getMessage());
       return;
     }
-    if (context.executor().isPending(query)) {
+    if (context.executor().isPending(query) || context.executor().mayHaveExecuted(query)) {
       context.counters().increment("front.rejected");
       connection.reject(exchange, HttpResponseStatus.BAD_REQUEST, "X-Correlation-Id is in use");
     } else if (context.executor().submitQuery(query, exchange)) {
--- a/router/src/main/java/tidebank/runtime/ActionExecutor.java
+++ b/router/src/main/java/tidebank/runtime/ActionExecutor.java
@@ -6,6 +6,7 @@
 import tidebank.metrics.Counters;
 import tidebank.model.Action;
 import tidebank.model.Event;
+import tidebank.model.Outcome;
 
 /**
  * Executes the actions that the routing policy returns: sends and cancels attempts, responds to
@@ -102,7 +103,7 @@
     try {
       attempt.setHandle(backend.send(attempt));
     } catch (RuntimeException | VirtualMachineError fault) {
-      attempt.markCompleted();
+      attempt.markCompleted(Outcome.NOT_SENT);
       throw fault;
     }
   }
--- a/router/src/main/java/tidebank/runtime/AttemptRequest.java
+++ b/router/src/main/java/tidebank/runtime/AttemptRequest.java
@@ -1,5 +1,7 @@
 package tidebank.runtime;
 
+import tidebank.model.Outcome;
+
 /**
  * An attempt at a shard request that the routing policy has decided to send. The backend sends it
  * and reports its outcome exactly once, through {@link PolicyExecutor#attemptCompleted}.
@@ -12,6 +14,7 @@
   private final long createdAt;
   private Handle handle;
   private boolean completed;
+  private boolean mayHaveExecuted;
 
   AttemptRequest(
       PendingShardRequest shardRequest, int index, String server, long deadline, long createdAt) {
@@ -74,8 +77,14 @@
     return completed;
   }
 
-  void markCompleted() {
+  void markCompleted(Outcome outcome) {
     completed = true;
+    mayHaveExecuted = !outcome.provesNotExecuted();
+  }
+
+  /** Returns whether the attempt has completed and its server may have executed it. */
+  boolean mayHaveExecuted() {
+    return mayHaveExecuted;
   }
 
   void setHandle(Handle newHandle) {
--- a/router/src/main/java/tidebank/runtime/PendingQueries.java
+++ b/router/src/main/java/tidebank/runtime/PendingQueries.java
@@ -3,6 +3,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import tidebank.model.Idempotency;
+import tidebank.model.QueryClass;
+import tidebank.model.Settings;
 
 /**
  * The table of queries without a final response, and of shard requests that belong to such a query
@@ -11,20 +14,21 @@
 final class PendingQueries {
   private final Map<String, PendingQuery> queries = new HashMap<>();
   private final Map<String, PendingShardRequest> shardRequests = new HashMap<>();
-  private final int maxPending;
+  private final ExecutedRequests executed = new ExecutedRequests();
+  private final Settings settings;
 
   /** The number of open queries plus that of their shard requests. */
   private int pendingCount;
 
   private long lastNumber;
 
-  PendingQueries(int maxPending) {
-    this.maxPending = maxPending;
+  PendingQueries(Settings settings) {
+    this.settings = settings;
   }
 
   /** Returns whether the limit on pending queries and shard requests allows this query. */
   boolean hasCapacity(QueryRequest request) {
-    return pendingCount <= maxPending - countWithShardRequests(request);
+    return pendingCount <= settings.limits().maxPending() - countWithShardRequests(request);
   }
 
   private static int countWithShardRequests(QueryRequest request) {
@@ -44,6 +48,12 @@
     return false;
   }
 
+  /** Returns whether a shard request of this query was executed before and must not be again. */
+  boolean mayHaveExecuted(QueryRequest request) {
+    return request.targets().stream()
+        .anyMatch(target -> executed.contains(PendingShardRequest.id(request, target)));
+  }
+
   /** Adds a query and its shard requests. */
   PendingQuery add(QueryRequest request, ResponseCallback callback, long now) {
     PendingQuery query = new PendingQuery(request, ++lastNumber, callback, now);
@@ -91,8 +101,17 @@
 
   /** Removes a shard request if its query is closed and all its attempts have completed. */
   void removeIfDone(PendingShardRequest shardRequest) {
-    if (shardRequest.isDone()) {
-      shardRequests.remove(shardRequest.id());
+    if (shardRequest.isDone() && shardRequests.remove(shardRequest.id()) != null) {
+      recordExecution(shardRequest);
+    }
+  }
+
+  private void recordExecution(PendingShardRequest shardRequest) {
+    String className = shardRequest.query().request().queryClass();
+    QueryClass queryClass = settings.queryClasses().get(className);
+    boolean isIdempotent = queryClass != null && queryClass.idempotency() == Idempotency.IDEMPOTENT;
+    if (!isIdempotent && shardRequest.mayHaveExecuted()) {
+      executed.add(shardRequest.id());
     }
   }
 }
--- a/router/src/main/java/tidebank/runtime/PendingShardRequest.java
+++ b/router/src/main/java/tidebank/runtime/PendingShardRequest.java
@@ -70,6 +70,11 @@
     return true;
   }
 
+  /** Returns whether a server may have executed an attempt that has completed. */
+  boolean mayHaveExecuted() {
+    return attempts.stream().anyMatch(AttemptRequest::mayHaveExecuted);
+  }
+
   /** Drops the attempts that have not reached their shard servers. */
   void dropUndelivered() {
     // Iterates over a copy, as dropping an attempt completes it, which may use the list again.
--- a/router/src/main/java/tidebank/runtime/PolicyExecutor.java
+++ b/router/src/main/java/tidebank/runtime/PolicyExecutor.java
@@ -39,7 +39,7 @@
     this.clock = clock;
     this.timers = timers;
     this.counters = counters;
-    this.queries = new PendingQueries(settings.limits().maxPending());
+    this.queries = new PendingQueries(settings);
     this.actions = new ActionExecutor(queries, clock, timers, counters, this::enqueue);
     this.decisions =
         new DecisionLoop(settings, seed, clock, loop, counters, queries, endpoints, actions);
@@ -90,6 +90,11 @@
     return true;
   }
 
+  /** Returns whether a query with this id may have been executed and must not be executed again. */
+  public boolean mayHaveExecuted(QueryRequest request) {
+    return queries.mayHaveExecuted(request);
+  }
+
   /** Returns whether a query with this id is open or still has an attempt in flight. */
   public boolean isPending(QueryRequest request) {
     return queries.contains(request);
@@ -150,7 +155,7 @@
     if (!counters.checkInvariant(!attempt.isCompleted(), "a dispatch ends once")) {
       return;
     }
-    attempt.markCompleted();
+    attempt.markCompleted(outcome);
     PendingShardRequest shardRequest = attempt.shardRequest();
     shardRequest.offerValue(value);
     counters.increment(CounterNames.attempts(outcome));
--- a/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
+++ b/testbed/src/test/java/tidebank/testbed/ArchitectureTest.java
@@ -39,6 +39,7 @@
           "tidebank.fleet.RemovalList",
           "tidebank.frontend.ParseQuota",
           "tidebank.frontend.RequestBodyBudget",
+          "tidebank.runtime.ExecutedRequests",
           "tidebank.runtime.Readiness",
           "tidebank.runtime.ReadDelayEstimator",
           "tidebank.runtime.ShutdownSchedule",
