Limit the header fields of a request to 100

Cause: a head was limited in bytes (8 KiB), but not in fields. 1,950 fields of four bytes become objects of many times their bytes on the heap of 48 MB, and trailers do so too. The heap was full and the process only collected garbage.

Change: LimitedHttpHeaders fails a request with more than 100 fields, as soon as the field is parsed; it gets 400. Names and values are validated as before.

--- a/router/src/main/java/tidebank/frontend/StrictRequestDecoder.java
+++ b/router/src/main/java/tidebank/frontend/StrictRequestDecoder.java
@@ -2,6 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -13,10 +16,16 @@
  * which permits request smuggling; this one rejects such a request.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
+  private static final HttpHeadersFactory HEADERS =
+      LimitedHttpHeaders.factory(DefaultHttpHeadersFactory.headersFactory());
+  private static final HttpHeadersFactory TRAILERS =
+      LimitedHttpHeaders.factory(DefaultHttpHeadersFactory.trailersFactory());
+
   private final ClientInputHandler input;
   private boolean withinBody;
 
   StrictRequestDecoder(ClientInputHandler input) {
+    super(new HttpDecoderConfig().setHeadersFactory(HEADERS).setTrailersFactory(TRAILERS));
     this.input = input;
   }
 
