Read dropped input in turns, and stop parsing behind unread responses

Input behind a refused request was read at up to 256 KiB a connection and pass (78 MB in a pass of 150 ms), and clients that don't read their responses held up to 128 KiB of them each, more than the direct memory for all, whereupon each allocation stalls the loop for half a second.

Change: a connection whose input is dropped, and that waits for no response, is read once in its turn, 128 in a pass; one whose responses the socket does not take (over 4 KiB) is not parsed any further until it does, within the time limit for unread responses. Input behind queries is read again only if nothing of it was refused.

--- a/router/src/main/java/tidebank/frontend/ClientConnection.java
+++ b/router/src/main/java/tidebank/frontend/ClientConnection.java
@@ -325,12 +325,22 @@
   /** Starts or cancels the time limit for a client that does not read its responses. */
   void writabilityChanged() {
     if (channel.isWritable()) {
-      timers.cancelUnreadResponses();
+      responsesRead();
     } else {
-      timers.startUnreadResponses();
+      awaitResponsesRead();
     }
   }
 
+  /** Starts the time limit for a client that does not read its responses. */
+  void awaitResponsesRead() {
+    timers.startUnreadResponses();
+  }
+
+  /** Records that the client reads its responses. */
+  void responsesRead() {
+    timers.cancelUnreadResponses();
+  }
+
   /**
    * Responds to an incomplete request with 408, after the responses that are due before it. A
    * connection without any request is closed without a response.
--- a/router/src/main/java/tidebank/frontend/ClientInputHandler.java
+++ b/router/src/main/java/tidebank/frontend/ClientInputHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.nio.AbstractNioChannel;
@@ -9,8 +10,9 @@
 
 /**
  * Reads the input of a client's connection, ahead of the decoder. Input beyond the {@link
- * ParseQuota} is not parsed, and no more is read, until it is the connection's turn. Input behind
- * the last request that is served is dropped unparsed.
+ * ParseQuota}, or behind responses that the client does not read, is not parsed, and no more is
+ * read, until it is the connection's turn. Input behind the last request that is served is dropped
+ * unparsed.
  *
  * <p>A disconnect is only found by reading all input before it. So a connection never waits for its
  * turn while requests of it are pending: what follows them is refused instead. A query is only sent
@@ -26,6 +28,9 @@
   /** RFC 9112, 2.2 ignores empty lines before a request; a server may limit them. */
   private static final int MAX_BLANK_BYTES = 1024;
 
+  /** Responses beyond it that the socket does not take stop the parsing of further requests. */
+  private static final int MAX_UNREAD_RESPONSE_BYTES = 4096;
+
   private final ClientConnection connection;
   private final PolicyExecutor executor;
   private final ClientInputScheduler scheduler;
@@ -73,7 +78,7 @@
 
   /** Returns whether another message may be parsed now. */
   boolean mayParse() {
-    quotaExceeded = !firstOfRead && !scheduler.allows(usage);
+    quotaExceeded = !firstOfRead && (!scheduler.allows(usage) || hasUnreadResponses());
     return !quotaExceeded;
   }
 
@@ -88,21 +93,18 @@
 
   // ---- reading
 
-  /** Returns whether nothing is read until it is the connection's turn. */
-  boolean isPaused() {
-    return paused;
-  }
-
   /** Reads all available input, or as much as is read of one connection at a time. */
   void readNow() {
-    if (!paused && context.channel() instanceof AbstractNioChannel channel && channel.isActive()) {
+    boolean mayRead = !paused || dropsInput();
+    if (mayRead && context.channel() instanceof AbstractNioChannel channel && channel.isActive()) {
       channel.unsafe().read();
     }
   }
 
   /**
    * Reads until no input is left, so that a disconnect is found. If that takes far more reads than
-   * the requests of a client, queries that were not sent yet are refused instead.
+   * the requests of a client, or requests were refused because there are too many, queries that
+   * were not sent yet are refused instead.
    */
   void readToEnd() {
     readNow();
@@ -110,7 +112,7 @@
   }
 
   private void finishReading() {
-    for (int i = 0; i < MAX_REPETITIONS && !drained && context.channel().isActive(); i++) {
+    for (int i = 0; i < MAX_REPETITIONS && !drained && !dropsInput(); i++) {
       repeating = true;
       readNow();
       repeating = false;
@@ -127,6 +129,10 @@
     executor.clientInputRead(bytes.readableBytes());
     if (dropsInput()) {
       bytes.release();
+      if (!connection.hasPendingRequests()) {
+        // No disconnect has to be found, so one read for each turn is enough.
+        pause();
+      }
       return;
     }
     if (!StrictRequestDecoder.isBlank(bytes)) {
@@ -163,14 +169,46 @@
       context.fireChannelRead(Unpooled.EMPTY_BUFFER);
       return;
     }
+    pause();
+  }
+
+  /** Stops reading until it is the connection's turn and the client has read its responses. */
+  private void pause() {
+    if (paused) {
+      return;
+    }
     paused = true;
     context.channel().config().setAutoRead(false);
-    scheduler.resumeLater(this, context.channel().eventLoop());
+    if (!hasUnreadResponses() || dropsInput()) {
+      scheduler.resumeLater(this, context.channel().eventLoop());
+      return;
+    }
+    connection.awaitResponsesRead();
+    context
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(
+            written -> {
+              if (written.isSuccess()) {
+                connection.responsesRead();
+                scheduler.resumeLater(this, context.channel().eventLoop());
+              }
+            });
+  }
+
+  /** Returns whether the socket has not taken all responses, as the client does not read them. */
+  private boolean hasUnreadResponses() {
+    Channel channel = context.channel();
+    long pendingBytes =
+        channel.config().getWriteBufferHighWaterMark() - channel.bytesBeforeUnwritable();
+    return pendingBytes > MAX_UNREAD_RESPONSE_BYTES;
   }
 
   /** Continues with the rest of the input; called when it is the connection's turn. */
   void resume() {
     paused = false;
+    if (dropsInput()) {
+      scheduler.recordDroppedRead();
+    }
     parse(Unpooled.EMPTY_BUFFER);
     context.fireChannelReadComplete();
     if (!paused) {
--- a/router/src/main/java/tidebank/frontend/ClientInputScheduler.java
+++ b/router/src/main/java/tidebank/frontend/ClientInputScheduler.java
@@ -31,6 +31,11 @@
     quota.recordMessage(usage, executor.passNumber());
   }
 
+  /** Records that a connection whose input is dropped is read from. */
+  void recordDroppedRead() {
+    quota.recordDroppedRead(executor.passNumber());
+  }
+
   /** Resumes this input when it is its turn, in a later pass. */
   void resumeLater(ClientInputHandler input, EventLoop loop) {
     waiting.add(input);
--- a/router/src/main/java/tidebank/frontend/ParseQuota.java
+++ b/router/src/main/java/tidebank/frontend/ParseQuota.java
@@ -40,16 +40,26 @@
     }
   }
 
+  /** Records a read of input that is dropped, which uses the shared quota in any case. */
+  void recordDroppedRead(long currentPass) {
+    beginPass(currentPass);
+    sharedMessages++;
+  }
+
   /** Returns whether connections have used up in this pass what they share. */
   boolean isSharedQuotaUsed(long currentPass) {
     return passNumber == currentPass && sharedMessages >= SHARED_MESSAGES;
   }
 
-  private void beginPass(Usage usage, long currentPass) {
+  private void beginPass(long currentPass) {
     if (passNumber != currentPass) {
       passNumber = currentPass;
       sharedMessages = 0;
     }
+  }
+
+  private void beginPass(Usage usage, long currentPass) {
+    beginPass(currentPass);
     if (usage.passNumber != currentPass) {
       usage.passNumber = currentPass;
       usage.messages = 0;
--- a/router/src/test/java/tidebank/FloodClient.java
+++ b/router/src/test/java/tidebank/FloodClient.java
@@ -1,5 +1,8 @@
 package tidebank;
 
+import static tidebank.FakeSite.FakeClient.postRequest;
+import static tidebank.FakeSite.FakeClient.queryRequest;
+
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -17,6 +20,50 @@
 
   private static final int READ_BYTES = 64 * 1024;
 
+  private static final int QUERY_TIMEOUT_MS = 300;
+  private static final String READINESS_CHECK = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+  private static final String CHUNKED_HEAD =
+      "POST /whole HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: c\r\nX-Time-Left: 900m\r\n"
+          + "Transfer-Encoding: chunked\r\n\r\n";
+
+  /** What a client sends. */
+  enum Kind {
+    READINESS_CHECKS,
+    READINESS_CHECKS_WITHOUT_READING,
+    BYTES_THAT_ARE_NOT_HTTP,
+    REQUESTS_BEHIND_A_REFUSED_ONE,
+    CHUNKS_OF_ONE_BYTE,
+    CHUNKS_OF_ONE_BYTE_BEHIND_A_REFUSED_REQUEST,
+    EMPTY_LINES,
+    QUERIES_WITH_NEW_NAMES,
+    MALFORMED_QUERIES;
+
+    FloodClient start(InetSocketAddress address, String name) {
+      return switch (this) {
+        case READINESS_CHECKS -> new FloodClient(address, "", i -> READINESS_CHECK, true);
+        case READINESS_CHECKS_WITHOUT_READING ->
+            new FloodClient(address, "", i -> READINESS_CHECK, false);
+        case BYTES_THAT_ARE_NOT_HTTP -> new FloodClient(address, "", i -> "x\r\n\r\n", true);
+        case REQUESTS_BEHIND_A_REFUSED_ONE ->
+            new FloodClient(address, "PUT / HTTP/1.1\r\n\r\n", i -> READINESS_CHECK, false);
+        case CHUNKS_OF_ONE_BYTE -> new FloodClient(address, CHUNKED_HEAD, i -> "1\r\nx\r\n", true);
+        case CHUNKS_OF_ONE_BYTE_BEHIND_A_REFUSED_REQUEST ->
+            new FloodClient(
+                address, "PUT / HTTP/1.1\r\n\r\n" + CHUNKED_HEAD, i -> "1\r\nx\r\n", false);
+        case EMPTY_LINES -> new FloodClient(address, "", i -> "\r\n", true);
+        case QUERIES_WITH_NEW_NAMES ->
+            new FloodClient(address, "", i -> queryWithNewNames(name + i), true);
+        case MALFORMED_QUERIES ->
+            new FloodClient(address, "", i -> postRequest("/whole", name + i, "300m", "{}"), true);
+      };
+    }
+
+    private static String queryWithNewNames(String name) {
+      return queryRequest("whole", name, QUERY_TIMEOUT_MS, 1)
+          .replace("X-Account: a", "X-Account: " + name + "\r\nX-Session-Key: " + name);
+    }
+  }
+
   private final InetSocketAddress address;
   private final String preamble;
   private final IntFunction<String> request;
--- a/router/src/test/java/tidebank/FloodDelaysOtherClientsTest.java
+++ b/router/src/test/java/tidebank/FloodDelaysOtherClientsTest.java
@@ -1,7 +1,6 @@
 package tidebank;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static tidebank.FakeSite.FakeClient.postRequest;
 import static tidebank.FakeSite.FakeClient.queryRequest;
 
 import java.io.IOException;
@@ -40,49 +39,6 @@
   /** The share of the other clients' queries that has to be served before the deadline. */
   private static final double MIN_SERVED_SHARE = 0.5;
 
-  private static final String READINESS_CHECK = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
-  private static final String CHUNKED_HEAD =
-      "POST /whole HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: c\r\nX-Time-Left: 900m\r\n"
-          + "Transfer-Encoding: chunked\r\n\r\n";
-
-  /** What the flooding clients send. */
-  enum Flood {
-    READINESS_CHECKS,
-    READINESS_CHECKS_WITHOUT_READING,
-    BYTES_THAT_ARE_NOT_HTTP,
-    REQUESTS_BEHIND_A_REFUSED_ONE,
-    CHUNKS_OF_ONE_BYTE,
-    CHUNKS_OF_ONE_BYTE_BEHIND_A_REFUSED_REQUEST,
-    EMPTY_LINES,
-    QUERIES_WITH_NEW_NAMES,
-    MALFORMED_QUERIES;
-
-    FloodClient start(InetSocketAddress address, String name) {
-      return switch (this) {
-        case READINESS_CHECKS -> new FloodClient(address, "", i -> READINESS_CHECK, true);
-        case READINESS_CHECKS_WITHOUT_READING ->
-            new FloodClient(address, "", i -> READINESS_CHECK, false);
-        case BYTES_THAT_ARE_NOT_HTTP -> new FloodClient(address, "", i -> "x\r\n\r\n", true);
-        case REQUESTS_BEHIND_A_REFUSED_ONE ->
-            new FloodClient(address, "PUT / HTTP/1.1\r\n\r\n", i -> READINESS_CHECK, false);
-        case CHUNKS_OF_ONE_BYTE -> new FloodClient(address, CHUNKED_HEAD, i -> "1\r\nx\r\n", true);
-        case CHUNKS_OF_ONE_BYTE_BEHIND_A_REFUSED_REQUEST ->
-            new FloodClient(
-                address, "PUT / HTTP/1.1\r\n\r\n" + CHUNKED_HEAD, i -> "1\r\nx\r\n", false);
-        case EMPTY_LINES -> new FloodClient(address, "", i -> "\r\n", true);
-        case QUERIES_WITH_NEW_NAMES ->
-            new FloodClient(address, "", i -> queryWithNewNames(name + i), true);
-        case MALFORMED_QUERIES ->
-            new FloodClient(address, "", i -> postRequest("/whole", name + i, "300m", "{}"), true);
-      };
-    }
-
-    private static String queryWithNewNames(String name) {
-      return queryRequest("whole", name, TIMEOUT_MS, 1)
-          .replace("X-Account: a", "X-Account: " + name + "\r\nX-Session-Key: " + name);
-    }
-  }
-
   private final FakeSite site = new FakeSite();
   private final List<AutoCloseable> floods = new ArrayList<>();
   private final Queue<String> lost = new ConcurrentLinkedQueue<>();
@@ -99,8 +55,8 @@
   }
 
   @ParameterizedTest
-  @EnumSource(Flood.class)
-  void othersAreAnsweredInTime(Flood flood) throws Exception {
+  @EnumSource(FloodClient.Kind.class)
+  void othersAreAnsweredInTime(FloodClient.Kind flood) throws Exception {
     MEMORY_OPTION
         .matcher(Files.readString(DEPLOY_FILE))
         .results()
--- a/router/src/test/java/tidebank/QueryRouterSoakTest.java
+++ b/router/src/test/java/tidebank/QueryRouterSoakTest.java
@@ -25,13 +25,19 @@
 /**
  * A soak test of a router process. Clients with seeded random behavior send requests while the
  * process is stopped and continued by signals, a shard server drains and leaves, and finally the
- * router is shut down within the minimum time between SIGTERM and SIGKILL. The clients and shard
- * servers check that no request is lost. {@code -Dtidebank.soak.seeds=50} runs 50 seeds.
+ * router is shut down within the minimum time between SIGTERM and SIGKILL. With some seeds, others
+ * flood the router with input or stay idle. The clients and shard servers check that no request is
+ * lost. {@code -Dtidebank.soak.seeds=50} runs 50 seeds.
  */
 @Timeout(60)
 class QueryRouterSoakTest {
   private static final int SEEDS = Integer.getInteger("tidebank.soak.seeds", 3);
   private static final int CLIENTS = 10;
+  private static final int FLOOD_CLIENTS = 2;
+
+  /** Together with the others, fewer than the half of 1,024 descriptors that clients may use. */
+  private static final int IDLE_CLIENTS = 400;
+
   private static final int STOPS = 4;
   private static final long STOP_MS = 300;
   private static final long MAX_TIME_BETWEEN_STOPS_MS = 400;
@@ -79,6 +85,7 @@
   }
 
   private final FakeSite site = new FakeSite();
+  private final List<AutoCloseable> disturbingClients = new ArrayList<>();
   private final AtomicInteger lastId = new AtomicInteger();
   private final ConcurrentLinkedQueue<RequestResult> results = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<String> lateIds = new ConcurrentLinkedQueue<>();
@@ -89,6 +96,9 @@
   @AfterEach
   void close() throws Exception {
     finished = true;
+    for (AutoCloseable client : disturbingClients) {
+      client.close();
+    }
     site.close();
   }
 
@@ -107,6 +117,7 @@
       Random random = new Random(seed * CLIENTS + i);
       threads.add(runInBackground(() -> sendRequests(address, random)));
     }
+    startDisturbingClients(address, seed);
     injectFaults(new Random(-seed));
     boolean exited = site.process.waitFor(KILL_AFTER_MS, TimeUnit.MILLISECONDS);
     finished = true;
@@ -171,6 +182,23 @@
 
   // ---- clients
 
+  /** Starts a flood of input with two of three seeds, and idle clients with one of them. */
+  private void startDisturbingClients(InetSocketAddress address, long seed) throws IOException {
+    if (seed % 3 == 0) {
+      return;
+    }
+    FloodClient.Kind[] kinds = FloodClient.Kind.values();
+    for (int i = 0; i < FLOOD_CLIENTS; i++) {
+      FloodClient.Kind kind = kinds[(int) ((seed + i) % kinds.length)];
+      disturbingClients.add(kind.start(address, "flood" + i + "-"));
+    }
+    if (seed % 3 == 1) {
+      for (int i = 0; i < IDLE_CLIENTS; i++) {
+        disturbingClients.add(new FakeClient(address));
+      }
+    }
+  }
+
   /** Opens one connection after another and sends a few requests on each. */
   private void sendRequests(InetSocketAddress address, Random random) throws Exception {
     while (!finished) {
--- a/router/src/test/java/tidebank/frontend/ParseQuotaTest.java
+++ b/router/src/test/java/tidebank/frontend/ParseQuotaTest.java
@@ -39,6 +39,15 @@
     assertThat(quota.isSharedQuotaUsed(2)).isFalse();
   }
 
+  @Test
+  void droppedReadsUseTheSharedQuota() {
+    for (int i = 0; i < ParseQuota.SHARED_MESSAGES; i++) {
+      assertThat(quota.isSharedQuotaUsed(1)).isFalse();
+      quota.recordDroppedRead(1);
+    }
+    assertThat(quota.isSharedQuotaUsed(1)).isTrue();
+  }
+
   @Test
   void connectionThatSendsLittleIsNotAffectedByOthers() {
     for (int i = 0; i < 10; i++) {
