Parse requests behind pending ones without waiting for what other clients share

Found by reading the new code: of queries that 20 clients pipelined at once, 16 each, some got 503, and what followed those was dropped. Requests behind pending ones were refused as soon as the shared quota of the pass was used, although a connection may pipeline 16.

Change: only connections without pending requests share a quota; the others parse up to 64 messages in a pass. A connection is also read to its end after its turn, so that the time of a later query doesn't count from input that waited before.

--- a/router/src/main/java/tidebank/frontend/ClientInputHandler.java
+++ b/router/src/main/java/tidebank/frontend/ClientInputHandler.java
@@ -78,7 +78,9 @@
 
   /** Returns whether another message may be parsed now. */
   boolean mayParse() {
-    quotaExceeded = !firstOfRead && (!scheduler.allows(usage) || hasUnreadResponses());
+    boolean isAllowed =
+        scheduler.allows(usage, connection.hasPendingRequests()) && !hasUnreadResponses();
+    quotaExceeded = !firstOfRead && !isAllowed;
     return !quotaExceeded;
   }
 
@@ -112,7 +114,7 @@
   }
 
   private void finishReading() {
-    for (int i = 0; i < MAX_REPETITIONS && !drained && !dropsInput(); i++) {
+    for (int i = 0; i < MAX_REPETITIONS && !drained && !paused && !dropsInput(); i++) {
       repeating = true;
       readNow();
       repeating = false;
@@ -213,9 +215,7 @@
     context.fireChannelReadComplete();
     if (!paused) {
       context.channel().config().setAutoRead(true);
-      if (connection.hasPendingRequests()) {
-        readToEnd();
-      }
+      readToEnd();
     }
   }
 
@@ -237,7 +237,7 @@
       connection.inputLeftUnread();
     }
     context.fireChannelReadComplete();
-    if (!drained && !repeating && connection.hasPendingRequests()) {
+    if (!drained && !repeating) {
       finishReading();
     }
   }
--- a/router/src/main/java/tidebank/frontend/ClientInputScheduler.java
+++ b/router/src/main/java/tidebank/frontend/ClientInputScheduler.java
@@ -22,8 +22,8 @@
   }
 
   /** Returns whether another message of a connection may be parsed in this pass. */
-  boolean allows(ParseQuota.Usage usage) {
-    return quota.allows(usage, executor.passNumber());
+  boolean allows(ParseQuota.Usage usage, boolean hasPendingRequests) {
+    return quota.allows(usage, hasPendingRequests, executor.passNumber());
   }
 
   /** Records that a message of a connection was parsed. */
--- a/router/src/main/java/tidebank/frontend/ParseQuota.java
+++ b/router/src/main/java/tidebank/frontend/ParseQuota.java
@@ -9,8 +9,8 @@
   /** Parsed for each connection in any case, enough for a small request with its body. */
   static final int GUARANTEED_MESSAGES = 4;
 
-  /** The most that is parsed for one connection; more than the requests that it may pipeline. */
-  static final int MAX_MESSAGES = 32;
+  /** The most that is parsed for one connection; some times the requests that it may pipeline. */
+  static final int MAX_MESSAGES = 64;
 
   /** Shared by all connections, for what goes beyond the guaranteed messages. */
   static final int SHARED_MESSAGES = 128;
@@ -24,11 +24,15 @@
   private long passNumber;
   private int sharedMessages;
 
-  /** Returns whether another message of a connection may be parsed in this pass. */
-  boolean allows(Usage usage, long currentPass) {
+  /**
+   * Returns whether another message of a connection may be parsed in this pass. What follows
+   * pending requests does not wait for the shared quota, as their number is limited.
+   */
+  boolean allows(Usage usage, boolean hasPendingRequests, long currentPass) {
     beginPass(usage, currentPass);
     return usage.messages < GUARANTEED_MESSAGES
-        || (usage.messages < MAX_MESSAGES && sharedMessages < SHARED_MESSAGES);
+        || (usage.messages < MAX_MESSAGES
+            && (hasPendingRequests || sharedMessages < SHARED_MESSAGES));
   }
 
   /** Records that a message of a connection was parsed in this pass. */
--- a/router/src/test/java/tidebank/frontend/ParseQuotaTest.java
+++ b/router/src/test/java/tidebank/frontend/ParseQuotaTest.java
@@ -11,7 +11,7 @@
   /** Parses as many messages as allowed in a pass and returns their number. */
   private int parseAll(ParseQuota.Usage usage, long pass) {
     int messages = 0;
-    while (quota.allows(usage, pass)) {
+    while (quota.allows(usage, false, pass)) {
       quota.recordMessage(usage, pass);
       messages++;
     }
@@ -39,6 +39,20 @@
     assertThat(quota.isSharedQuotaUsed(2)).isFalse();
   }
 
+  /** Otherwise requests that a client may pipeline were refused because of other clients. */
+  @Test
+  void requestsBehindPendingOnesDoNotWaitForTheSharedQuota() {
+    for (int i = 0; i < 100; i++) {
+      parseAll(new ParseQuota.Usage(), 1);
+    }
+    ParseQuota.Usage usage = new ParseQuota.Usage();
+    for (int i = 0; i < ParseQuota.MAX_MESSAGES; i++) {
+      assertThat(quota.allows(usage, true, 1)).isTrue();
+      quota.recordMessage(usage, 1);
+    }
+    assertThat(quota.allows(usage, true, 1)).isFalse();
+  }
+
   @Test
   void droppedReadsUseTheSharedQuota() {
     for (int i = 0; i < ParseQuota.SHARED_MESSAGES; i++) {
@@ -53,6 +67,6 @@
     for (int i = 0; i < 10; i++) {
       parseAll(new ParseQuota.Usage(), 1);
     }
-    assertThat(quota.allows(new ParseQuota.Usage(), 1)).isTrue();
+    assertThat(quota.allows(new ParseQuota.Usage(), false, 1)).isTrue();
   }
 }
