--- a/router/src/test/java/tidebank/FakeSite.java
+++ b/router/src/test/java/tidebank/FakeSite.java
@@ -34,6 +34,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.assertj.core.api.Assertions;
 import tidebank.capture.DecisionLog;
@@ -51,6 +53,11 @@
  * before it starts the router, either in this process or as a process of its own.
  */
 final class FakeSite implements AutoCloseable {
+  private static final Path DEPLOY_FILE = Path.of("../deploy/balancer.toml");
+  private static final Pattern MEMORY_OPTION =
+      Pattern.compile("-Xm[sx]\\S+|-Xss\\S+|-XX:Max\\w+=\\S+|-XX:Reserved\\w+=\\S+");
+  private static final int MEMORY_OPTIONS = 6;
+
   /** The maximum wait for an event that a test expects, in milliseconds. */
   static final int WAIT_MS = 8000;
 
@@ -200,6 +207,16 @@
     return Files.writeString(configPath, configJson());
   }
 
+  /** Gives the router's process the limits on memory of the deploy file. */
+  void useDeployedMemoryOptions() throws IOException {
+    MEMORY_OPTION
+        .matcher(Files.readString(DEPLOY_FILE))
+        .results()
+        .map(MatchResult::group)
+        .forEach(jvmOptions::add);
+    Assertions.assertThat(jvmOptions).hasSize(MEMORY_OPTIONS);
+  }
+
   /** Starts the router in this process. It listens when this returns. */
   FakeSite start() throws IOException {
     router =
--- a/router/src/test/java/tidebank/FloodDelaysOtherClientsTest.java
+++ b/router/src/test/java/tidebank/FloodDelaysOtherClientsTest.java
@@ -5,15 +5,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.MatchResult;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,9 +19,6 @@
 /** Guards against floods of small or malformed requests that delay the responses of others. */
 @Timeout(60)
 class FloodDelaysOtherClientsTest {
-  private static final Path DEPLOY_FILE = Path.of("../deploy/balancer.toml");
-  private static final Pattern MEMORY_OPTION =
-      Pattern.compile("-Xm[sx]\\S+|-XX:Max(DirectMemorySize|MetaspaceSize)=\\S+");
   private static final int FLOOD_CLIENTS = 6;
   private static final long FLOOD_MS = 5000;
   private static final int OTHER_CLIENTS = 8;
@@ -57,11 +50,7 @@
   @ParameterizedTest
   @EnumSource(FloodClient.Kind.class)
   void othersAreAnsweredInTime(FloodClient.Kind flood) throws Exception {
-    MEMORY_OPTION
-        .matcher(Files.readString(DEPLOY_FILE))
-        .results()
-        .map(MatchResult::group)
-        .forEach(site.jvmOptions::add);
+    site.useDeployedMemoryOptions();
     InetSocketAddress address = site.startServing("127.0.0.1:0");
     Thread log = new Thread(this::readLog);
     log.start();
--- a/router/src/test/java/tidebank/IncompleteBodyFloodTest.java
+++ b/router/src/test/java/tidebank/IncompleteBodyFloodTest.java
@@ -8,13 +8,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.MatchResult;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -27,9 +23,6 @@
  */
 @Timeout(60)
 class IncompleteBodyFloodTest {
-  private static final Path DEPLOY_FILE = Path.of("../deploy/balancer.toml");
-  private static final Pattern MEMORY_OPTION =
-      Pattern.compile("-Xm[sx]\\S+|-XX:Max(DirectMemorySize|MetaspaceSize)=\\S+");
 
   /** Together with the client that is answered, less than a third of 1,024 descriptors. */
   private static final int STOPPED_CLIENTS = 320;
@@ -67,12 +60,7 @@
   /** Guards against incomplete bodies that leave no memory to answer complete requests. */
   @Test
   void completeRequestsAreAnsweredWhileOthersStopWithinTheirBodies() throws Exception {
-    MEMORY_OPTION
-        .matcher(Files.readString(DEPLOY_FILE))
-        .results()
-        .map(MatchResult::group)
-        .forEach(site.jvmOptions::add);
-    assertThat(site.jvmOptions).hasSize(4);
+    site.useDeployedMemoryOptions();
     InetSocketAddress address = site.startServing("127.0.0.1:0");
     try (FakeClient client = new FakeClient(address)) {
       assertThat(client.sendAndRead(queryRequest("whole", "before", TIMEOUT_MS, 1)).status())
--- a/router/src/test/java/tidebank/UnfinishedRequestsExhaustMemoryTest.java
+++ b/router/src/test/java/tidebank/UnfinishedRequestsExhaustMemoryTest.java
@@ -13,7 +13,6 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.MatchResult;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
@@ -25,9 +24,6 @@
 /** Guards against hundreds of unfinished requests that use up the memory of the process. */
 @Timeout(60)
 class UnfinishedRequestsExhaustMemoryTest {
-  private static final Path DEPLOY_FILE = Path.of("../deploy/balancer.toml");
-  private static final Pattern MEMORY_OPTION =
-      Pattern.compile("-Xm[sx]\\S+|-Xss\\S+|-XX:Max\\w+=\\S+|-XX:Reserved\\w+=\\S+");
 
   /** The memory limit of the deployment's processes. */
   private static final long MEMORY_LIMIT_KB = 192 * 1024;
@@ -108,12 +104,7 @@
   @ParameterizedTest
   @EnumSource(Unfinished.class)
   void processStaysWithinItsMemoryAndAnswersOthers(Unfinished unfinished) throws Exception {
-    MEMORY_OPTION
-        .matcher(Files.readString(DEPLOY_FILE))
-        .results()
-        .map(MatchResult::group)
-        .forEach(site.jvmOptions::add);
-    assertThat(site.jvmOptions).hasSize(6);
+    site.useDeployedMemoryOptions();
     InetSocketAddress address = site.startServing("127.0.0.1:0");
     Thread log = new Thread(this::readLog);
     log.start();
