Refuse no pipelined request because a response before it is still being written

Found by reading the new code: a request behind pending ones was refused while the socket had not taken over 4 KiB of earlier responses, which a client that reads them may see for a moment. As before, such a client is bounded by its 16 requests and by 128 KiB.

Not shown by a test: on loopback the socket takes a response at once. WaitingInputTest, UnreadInputOfDepartedClientTest and the pipelining tests of QueryRouterTest hold.

--- a/router/src/main/java/tidebank/frontend/ClientInputHandler.java
+++ b/router/src/main/java/tidebank/frontend/ClientInputHandler.java
@@ -79,8 +79,8 @@
 
   /** Returns whether another message may be parsed now. */
   boolean mayParse() {
-    boolean isAllowed =
-        scheduler.allows(usage, connection.hasPendingRequests()) && !hasUnreadResponses();
+    boolean isPending = connection.hasPendingRequests();
+    boolean isAllowed = scheduler.allows(usage, isPending) && (isPending || !hasUnreadResponses());
     quotaExceeded = !firstOfRead && !isAllowed;
     return !quotaExceeded;
   }
