Limit the parsing in a pass by its time, too, as messages may be slow to parse

Cause: the quota of a pass counted messages only. The log says passes of 228 and 186 ms with 145 and 132 messages: 1.5 ms each in a process whose code has just been loaded, where it is 0.02 ms later. A query needs several passes.

Change: connections share their quota for 10 ms of a pass at most, beside the messages that each may have parsed in any case.

--- a/router/src/main/java/tidebank/frontend/ClientInputScheduler.java
+++ b/router/src/main/java/tidebank/frontend/ClientInputScheduler.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import tidebank.runtime.Clock;
 import tidebank.runtime.PolicyExecutor;
 
 /**
@@ -13,27 +14,29 @@
  */
 final class ClientInputScheduler {
   private final PolicyExecutor executor;
+  private final Clock clock;
   private final ParseQuota quota = new ParseQuota();
   private final Set<ClientInputHandler> waiting = new LinkedHashSet<>();
   private boolean scheduled;
 
-  ClientInputScheduler(PolicyExecutor executor) {
+  ClientInputScheduler(PolicyExecutor executor, Clock clock) {
     this.executor = executor;
+    this.clock = clock;
   }
 
   /** Returns whether another message of a connection may be parsed in this pass. */
   boolean allows(ParseQuota.Usage usage, boolean hasPendingRequests) {
-    return quota.allows(usage, hasPendingRequests, executor.passNumber());
+    return quota.allows(usage, hasPendingRequests, executor.passNumber(), clock.now());
   }
 
   /** Records that a message of a connection was parsed. */
   void recordMessage(ParseQuota.Usage usage) {
-    quota.recordMessage(usage, executor.passNumber());
+    quota.recordMessage(usage);
   }
 
   /** Records that a connection whose input is dropped is read from. */
   void recordDroppedRead() {
-    quota.recordDroppedRead(executor.passNumber());
+    quota.recordDroppedRead();
   }
 
   /** Resumes this input when it is its turn, in a later pass. */
@@ -55,7 +58,7 @@
     scheduled = false;
     int count = waiting.size();
     for (int i = 0; i < count && !waiting.isEmpty(); i++) {
-      if (quota.isSharedQuotaUsed(executor.passNumber())) {
+      if (quota.isSharedQuotaUsed(executor.passNumber(), clock.now())) {
         break;
       }
       Iterator<ClientInputHandler> first = waiting.iterator();
--- a/router/src/main/java/tidebank/frontend/ClientServer.java
+++ b/router/src/main/java/tidebank/frontend/ClientServer.java
@@ -43,7 +43,7 @@
     this.budget = new ConnectionBudget(context);
     this.bodyBudget = new RequestBodyBudget(config.budgets().maxIncompleteBodyBytes());
     counters.raiseTo("front.body-bytes-budget", config.budgets().maxIncompleteBodyBytes());
-    this.inputScheduler = new ClientInputScheduler(executor);
+    this.inputScheduler = new ClientInputScheduler(executor, clock);
     this.listener = new ListeningSocket(clock, timers, counters);
   }
 
--- a/router/src/main/java/tidebank/frontend/ParseQuota.java
+++ b/router/src/main/java/tidebank/frontend/ParseQuota.java
@@ -15,6 +15,9 @@
   /** Shared by all connections, for what goes beyond the guaranteed messages. */
   static final int SHARED_MESSAGES = 128;
 
+  /** The time after which nothing of the shared quota is left, as messages may be slow to parse. */
+  static final long SHARED_TIME_US = 10_000;
+
   /** What one connection has used of the quota. */
   static final class Usage {
     private long passNumber;
@@ -22,22 +25,22 @@
   }
 
   private long passNumber;
+  private long passBeganAt;
   private int sharedMessages;
 
   /**
    * Returns whether another message of a connection may be parsed in this pass. What follows
    * pending requests does not wait for the shared quota, as their number is limited.
    */
-  boolean allows(Usage usage, boolean hasPendingRequests, long currentPass) {
+  boolean allows(Usage usage, boolean hasPendingRequests, long currentPass, long now) {
+    boolean isSharedQuotaUsed = isSharedQuotaUsed(currentPass, now);
     beginPass(usage, currentPass);
     return usage.messages < GUARANTEED_MESSAGES
-        || (usage.messages < MAX_MESSAGES
-            && (hasPendingRequests || sharedMessages < SHARED_MESSAGES));
+        || (usage.messages < MAX_MESSAGES && (hasPendingRequests || !isSharedQuotaUsed));
   }
 
-  /** Records that a message of a connection was parsed in this pass. */
-  void recordMessage(Usage usage, long currentPass) {
-    beginPass(usage, currentPass);
+  /** Records that a message of a connection was parsed, which {@link #allows} has allowed. */
+  void recordMessage(Usage usage) {
     usage.messages++;
     if (usage.messages > GUARANTEED_MESSAGES) {
       sharedMessages++;
@@ -45,25 +48,21 @@
   }
 
   /** Records a read of input that is dropped, which uses the shared quota in any case. */
-  void recordDroppedRead(long currentPass) {
-    beginPass(currentPass);
+  void recordDroppedRead() {
     sharedMessages++;
   }
 
   /** Returns whether connections have used up in this pass what they share. */
-  boolean isSharedQuotaUsed(long currentPass) {
-    return passNumber == currentPass && sharedMessages >= SHARED_MESSAGES;
-  }
-
-  private void beginPass(long currentPass) {
+  boolean isSharedQuotaUsed(long currentPass, long now) {
     if (passNumber != currentPass) {
       passNumber = currentPass;
+      passBeganAt = now;
       sharedMessages = 0;
     }
+    return sharedMessages >= SHARED_MESSAGES || now - passBeganAt >= SHARED_TIME_US;
   }
 
   private void beginPass(Usage usage, long currentPass) {
-    beginPass(currentPass);
     if (usage.passNumber != currentPass) {
       usage.passNumber = currentPass;
       usage.messages = 0;
